--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,130 @@
+package balsampier
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+type (
+	// Clock tells the time and makes timers.
+	Clock interface {
+		// Now returns the current time with a monotonic reading.
+		Now() time.Time
+		// NewTimer returns a timer that fires once after d.
+		NewTimer(d time.Duration) Timer
+	}
+
+	// Timer fires once.
+	Timer interface {
+		// C delivers the time at which the timer fired.
+		C() <-chan time.Time
+		// Stop keeps the timer from firing.
+		Stop()
+	}
+
+	// Random yields random numbers; decisions take it as a parameter.
+	Random interface {
+		// Uint64 returns a uniformly distributed number.
+		Uint64() uint64
+	}
+
+	// FlowSteerer decides on the packets that a balancer receives.
+	FlowSteerer interface {
+		// Steer returns the verdict on p.
+		Steer(p Packet) Verdict
+	}
+
+	// RuleTable answers which rule is in force.
+	RuleTable interface {
+		// Revision is the accepted revision that the table was built from.
+		Revision() Revision
+		// InForce returns the rule for a packet from c to service address s at
+		// time t.
+		InForce(s netip.AddrPort, c netip.Addr, t time.Time) (Rule, bool)
+	}
+
+	// LoadView answers what is known of the load of agents.
+	LoadView interface {
+		// Load returns the last known load of the agent.
+		Load(i InstanceID) (Load, bool)
+	}
+
+	// Admitter decides which requests run, wait or are refused. It is a pure
+	// state machine: the caller passes the time and serializes calls.
+	Admitter interface {
+		// Offer presents a request; the ticket identifies it afterwards.
+		Offer(r Request, t time.Time) (Ticket, Admission)
+		// Done frees the slot of a request that ran.
+		Done(k Ticket, t time.Time)
+		// Cancel withdraws a request that still waits.
+		Cancel(k Ticket, t time.Time)
+		// Next returns the tickets that may start and those that are refused
+		// by time t.
+		Next(t time.Time) (start, refuse []Ticket)
+		// SetSlots changes the number of requests that run at once.
+		SetSlots(n int)
+		// Load returns the current load.
+		Load() Load
+	}
+
+	// Ticket identifies an offered request at its Admitter.
+	Ticket uint64
+
+	// Admission is the immediate answer to an offered request.
+	Admission uint8
+
+	// RecordLog is a durable sequence of records.
+	RecordLog interface {
+		// Append adds records; they last only after Sync returns.
+		Append(r ...[]byte) error
+		// Sync makes all appended records durable.
+		Sync() error
+		// Close releases the log without syncing it.
+		Close() error
+	}
+
+	// ControlClient speaks to the control instances.
+	ControlClient interface {
+		// Renew announces m, renews its lease and reports r as in force.
+		Renew(c context.Context, m Member, r Revision) (Lease, error)
+		// Watch calls f with each newer state until c ends or the stream
+		// breaks.
+		Watch(c context.Context, i InstanceID, f func(Update)) error
+	}
+
+	// Lease is the answer to a renewal.
+	Lease struct {
+		// Term is how long the lease lasts from the moment at which the
+		// renewal was sent.
+		Term time.Duration
+		// Epoch is the current view epoch.
+		Epoch Epoch
+		// Revision is the current rule revision.
+		Revision Revision
+	}
+
+	// Update is one message of a watch stream.
+	Update struct {
+		// Rules is nil when the rule file did not change.
+		Rules *RuleFile
+		// View is nil when the membership did not change.
+		View *View
+	}
+
+	// BackendServer is the server beside an agent.
+	BackendServer interface {
+		// Load asks the server for its own account of its load, which is a
+		// hint only.
+		Load(c context.Context) (Load, error)
+	}
+)
+
+const (
+	// AdmissionQueued requests wait for Next.
+	AdmissionQueued Admission = iota
+	// AdmissionRun requests may start now.
+	AdmissionRun
+	// AdmissionRefused requests do not run.
+	AdmissionRefused
+)
