feat: encode for callers, backend servers, peers and operators

Cause: the path needs one package per peer or protocol that encodes and decides nothing. Non-idempotent requests use a connection each: the HTTP library repeats a request without a body that carries an idempotency key when a reused connection turns out closed. Conclusion: encodings stand apart from decisions.

--- /dev/null
+++ b/backend/announce.go
@@ -0,0 +1,69 @@
+// Package backend speaks HTTP to the backend server beside an agent: it takes
+// the server's announcement and forwards requests to it. It decides nothing.
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+
+	"github.com/balsampier/balsampier"
+)
+
+// PathAnnounce is where a backend server announces itself.
+const PathAnnounce = "/v1/backend"
+
+// maxAnnouncementBytes bounds an announcement.
+const maxAnnouncementBytes = 4 << 10
+
+type (
+	// Announcement is what a backend server says of itself.
+	Announcement struct {
+		// Service is the service that it serves.
+		Service balsampier.ServiceName `json:"service"`
+		// Addr is where it takes HTTP requests.
+		Addr netip.AddrPort `json:"address"`
+		// Slots is how many requests it runs at once.
+		Slots int `json:"slots"`
+		// Connections is how many connections it takes.
+		Connections int `json:"connections"`
+		// Draining asks for no new work.
+		Draining bool `json:"draining"`
+	}
+
+	answer struct {
+		Error string `json:"error,omitempty"`
+	}
+)
+
+// AnnounceHandler takes announcements and hands the valid ones to f.
+func AnnounceHandler(f func(Announcement) error) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPut {
+			reply(w, http.StatusMethodNotAllowed, "use PUT")
+			return
+		}
+		var a Announcement
+		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&a); err != nil {
+			reply(w, http.StatusBadRequest, "the announcement is not understood: "+err.Error())
+			return
+		}
+		if a.Service == "" || !a.Addr.IsValid() || a.Slots <= 0 || a.Connections <= 0 {
+			reply(w, http.StatusBadRequest, "give service, address, slots and connections, the last two positive")
+			return
+		}
+		if err := f(a); err != nil {
+			reply(w, http.StatusConflict, err.Error())
+			return
+		}
+		reply(w, http.StatusOK, "")
+	})
+}
+
+func reply(w http.ResponseWriter, status int, msg string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer{Error: msg})
+}
--- /dev/null
+++ b/backend/proxy.go
@@ -0,0 +1,128 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/netip"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	dialTimeout        = 2 * time.Second
+	maxIdleConnections = 64
+)
+
+type (
+	// Attempt is one try to run a request at the backend server.
+	Attempt struct {
+		// Gate is asked right before the first byte; an error keeps the
+		// request from running.
+		Gate func() error
+		// Once keeps the HTTP library from sending the request twice.
+		Once bool
+		// started is set before the first byte goes to the backend server.
+		started atomic.Bool
+	}
+
+	// Proxy forwards requests to one backend server.
+	Proxy struct {
+		addr netip.AddrPort
+		// reused keeps connections open; its library may repeat idempotent
+		// requests on a connection that turns out closed.
+		reused *http.Transport
+		// single opens a connection for every request and never repeats one.
+		single *http.Transport
+	}
+
+	attemptKey struct{}
+
+	// gatedConn asks the gate before its first write.
+	gatedConn struct {
+		net.Conn
+		a *Attempt
+	}
+)
+
+// NewProxy returns a proxy to the backend server at a.
+func NewProxy(a netip.AddrPort) *Proxy {
+	p := &Proxy{addr: a}
+	d := net.Dialer{Timeout: dialTimeout}
+	dial := func(c context.Context, network, _ string) (net.Conn, error) {
+		n, err := d.DialContext(c, network, a.String())
+		if err != nil {
+			return nil, err
+		}
+		if t, ok := c.Value(attemptKey{}).(*Attempt); ok && t.Once {
+			return &gatedConn{Conn: n, a: t}, nil
+		}
+		return n, nil
+	}
+	p.reused = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
+	p.single = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return p
+}
+
+// Forward runs r once and streams the answer to w. An error of KindNotRun
+// means that no byte went to the backend server; after another error the
+// answer may have been sent in part.
+func (p *Proxy) Forward(w http.ResponseWriter, r *http.Request, a *Attempt) error {
+	var failed error
+	t := p.reused
+	if a.Once {
+		t = p.single
+	} else {
+		if err := a.Gate(); err != nil {
+			return err
+		}
+	}
+	v := &httputil.ReverseProxy{
+		Rewrite: func(q *httputil.ProxyRequest) {
+			q.SetURL(&url.URL{Scheme: "http", Host: p.addr.String()})
+			q.SetXForwarded()
+		},
+		Transport:     t,
+		FlushInterval: -1,
+		ErrorHandler: func(_ http.ResponseWriter, _ *http.Request, err error) {
+			failed = a.classify(err)
+		},
+	}
+	v.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), attemptKey{}, a)))
+	return failed
+}
+
+// Close closes idle connections.
+func (p *Proxy) Close() {
+	p.reused.CloseIdleConnections()
+	p.single.CloseIdleConnections()
+}
+
+// Started reports whether a byte may have gone to the backend server.
+func (a *Attempt) Started() bool { return a.started.Load() }
+
+func (a *Attempt) classify(err error) error {
+	var d *net.OpError
+	dial := errors.As(err, &d) && d.Op == "dial"
+	if dial || a.Once && !a.started.Load() {
+		return balsampier.NewError(balsampier.KindNotRun, "reach the backend server", "send the request again", err)
+	}
+	return balsampier.NewError(balsampier.KindUnknown, "get the answer of the backend server",
+		"ask for the outcome before sending the request again", err)
+}
+
+// Write implements net.Conn.
+func (g *gatedConn) Write(b []byte) (int, error) {
+	if !g.a.started.Load() {
+		if err := g.a.Gate(); err != nil {
+			return 0, err
+		}
+		g.a.started.Store(true)
+	}
+	return g.Conn.Write(b)
+}
--- /dev/null
+++ b/caller/packetconn.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/ring"
+)
+
+type (
+	// inbound is one datagram on its way to the QUIC library.
+	inbound struct {
+		from    netip.AddrPort
+		payload []byte
+	}
+
+	// packetConn feeds the QUIC library from a ring and takes its answers.
+	packetConn struct {
+		local netip.AddrPort
+		in    *ring.Ring[inbound]
+		send  func(p []byte, to netip.AddrPort) error
+
+		mu sync.Mutex
+		// cancel ends the reads that began before the last deadline change.
+		ctx    context.Context
+		cancel context.CancelFunc
+		one    [1]inbound
+	}
+)
+
+var _ net.PacketConn = (*packetConn)(nil)
+
+func newPacketConn(local netip.AddrPort, depth int, send func([]byte, netip.AddrPort) error) *packetConn {
+	c, cancel := context.WithCancel(context.Background())
+	return &packetConn{
+		local: local, send: send, ctx: c, cancel: cancel,
+		in: ring.New[inbound]("caller "+local.String(), depth, ring.DropNewest),
+	}
+}
+
+// deliver hands a datagram to the QUIC library, which keeps the payload.
+func (p *packetConn) deliver(c context.Context, b []byte, from netip.AddrPort) error {
+	return p.in.Push(c, inbound{from: from, payload: b})
+}
+
+// ReadFrom waits for the next datagram; only one goroutine reads.
+func (p *packetConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	p.mu.Lock()
+	c := p.ctx
+	p.mu.Unlock()
+	_, err := p.in.Pop(c, p.one[:])
+	switch {
+	case errors.Is(err, context.Canceled):
+		return 0, nil, os.ErrDeadlineExceeded
+	case balsampier.KindOf(err) == balsampier.KindClosed:
+		return 0, nil, net.ErrClosed
+	case err != nil:
+		return 0, nil, err
+	}
+	d := p.one[0]
+	p.one[0] = inbound{}
+	return copy(b, d.payload), net.UDPAddrFromAddrPort(d.from), nil
+}
+
+// WriteTo sends an answer to a caller.
+func (p *packetConn) WriteTo(b []byte, a net.Addr) (int, error) {
+	u, ok := a.(*net.UDPAddr)
+	if !ok {
+		return 0, balsampier.NewError(balsampier.KindInvalid, "send to "+a.String(), "use a UDP address", nil)
+	}
+	if err := p.send(b, u.AddrPort()); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// Close ends all reads.
+func (p *packetConn) Close() error {
+	p.in.Close()
+	return nil
+}
+
+// LocalAddr returns the service address.
+func (p *packetConn) LocalAddr() net.Addr { return net.UDPAddrFromAddrPort(p.local) }
+
+// SetDeadline sets the deadline of reads; writes never wait.
+func (p *packetConn) SetDeadline(t time.Time) error { return p.SetReadDeadline(t) }
+
+// SetReadDeadline ends reads at once when t lies in the past, which is the
+// only use that the QUIC library makes of it, and otherwise clears it.
+func (p *packetConn) SetReadDeadline(t time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancel()
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	if !t.IsZero() {
+		p.cancel()
+	}
+	return nil
+}
+
+// SetWriteDeadline does nothing: writes never wait.
+func (p *packetConn) SetWriteDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,79 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// HeaderKey carries the key of a request that must run at most once.
+	HeaderKey = "Idempotency-Key"
+	// HeaderTimeout carries the caller's patience in seconds.
+	HeaderTimeout = "Request-Timeout"
+	// HeaderRefusal tells refusals from the answers of backend servers.
+	HeaderRefusal = "Balsampier-Refusal"
+
+	headerRetryAfter = "Retry-After"
+	problemType      = "application/problem+json"
+)
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Refusal string `json:"refusal"`
+}
+
+// ReadRequest reads what admission needs to know of a request.
+func ReadRequest(r *http.Request, s balsampier.ServiceName, t time.Time) (balsampier.Request, error) {
+	q := balsampier.Request{Service: s, At: t}
+	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		q.Caller = a.Addr().Unmap()
+	}
+	if h := r.Header.Get(HeaderKey); h != "" {
+		k, err := uuid.Parse(h)
+		if err != nil || k.Version() != 7 {
+			return q, balsampier.NewError(balsampier.KindInvalid, "read "+HeaderKey, "send a UUIDv7 as its value", err)
+		}
+		q.Key = k
+	}
+	if h := r.Header.Get(HeaderTimeout); h != "" {
+		s, err := strconv.ParseFloat(h, 64)
+		if err != nil || !(s > 0) || s > math.MaxInt32 {
+			return q, balsampier.NewError(balsampier.KindInvalid, "read "+HeaderTimeout, "send a positive number of seconds", err)
+		}
+		q.Deadline = t.Add(time.Duration(s * float64(time.Second)))
+	}
+	return q, nil
+}
+
+// WriteRefusal answers a request with a typed error. Only kinds that say so
+// promise that the request did not run.
+func WriteRefusal(w http.ResponseWriter, err error, retryAfter time.Duration) {
+	k := balsampier.KindOf(err)
+	p := problem{Title: "request refused", Detail: err.Error(), Status: http.StatusServiceUnavailable, Refusal: balsampier.KindNotRun.String()}
+	switch k {
+	case balsampier.KindInvalid:
+		p.Status = http.StatusBadRequest
+	case balsampier.KindNotRun, balsampier.KindFull, balsampier.KindClosed:
+	default:
+		p.Title, p.Status, p.Refusal = "outcome unknown", http.StatusBadGateway, balsampier.KindUnknown.String()
+	}
+	h := w.Header()
+	h.Set("Content-Type", problemType)
+	h.Set(HeaderRefusal, p.Refusal)
+	if retryAfter > 0 && p.Refusal == balsampier.KindNotRun.String() {
+		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/peer/peerpb"
+)
+
+// maxMessageBytes bounds one message of a peer.
+const maxMessageBytes = 16 << 20
+
+type (
+	// ControlHandler answers the calls that members make.
+	ControlHandler interface {
+		// Renew extends the lease of m, which has revision r in force.
+		Renew(c context.Context, m balsampier.Member, r balsampier.Revision) (balsampier.Lease, error)
+		// Watch calls send with each newer state until c ends.
+		Watch(c context.Context, i balsampier.InstanceID, send func(balsampier.Update) error) error
+	}
+
+	// Server serves drpc on the peers' port. It implements the server
+	// interface of kratos.
+	Server struct {
+		l   net.Listener
+		mux *drpcmux.Mux
+		// stop is closed by Stop.
+		stop chan struct{}
+	}
+
+	controlServer struct {
+		key Key
+		h   ControlHandler
+	}
+)
+
+// NewServer returns a server on l without services.
+func NewServer(l net.Listener) *Server {
+	return &Server{l: l, mux: drpcmux.New(), stop: make(chan struct{})}
+}
+
+// AddControl adds the services of control.
+func (s *Server) AddControl(k Key, h ControlHandler) error {
+	v := &controlServer{key: k, h: h}
+	if err := peerpb.DRPCRegisterControlCommand(s.mux, v); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(peerpb.DRPCRegisterControlQuery(s.mux, v))
+}
+
+// Start serves until Stop.
+func (s *Server) Start(c context.Context) error {
+	c, cancel := context.WithCancel(c)
+	defer cancel()
+	go func() {
+		select {
+		case <-s.stop:
+			cancel()
+		case <-c.Done():
+		}
+	}()
+	o := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}}
+	err := drpcserver.NewWithOptions(s.mux, o).Serve(c, s.l)
+	if c.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err, "serve peers")
+}
+
+// Stop ends the server.
+func (s *Server) Stop(context.Context) error {
+	close(s.stop)
+	return nil
+}
+
+// Renew implements the drpc service.
+func (s *controlServer) Renew(c context.Context, q *peerpb.RenewRequest) (*peerpb.RenewResponse, error) {
+	if err := s.key.check(c); err != nil {
+		return nil, err
+	}
+	l, err := s.h.Renew(c, member(q.GetMember()), balsampier.Revision(q.GetApplied()))
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.RenewResponse{
+		TermNanos: l.Term.Nanoseconds(), Epoch: uint64(l.Epoch), Revision: uint64(l.Revision),
+	}, nil
+}
+
+// Watch implements the drpc service.
+func (s *controlServer) Watch(q *peerpb.WatchRequest, m peerpb.DRPCControlQuery_WatchStream) error {
+	if err := s.key.check(m.Context()); err != nil {
+		return err
+	}
+	return s.h.Watch(m.Context(), balsampier.InstanceID(q.GetInstance()), func(u balsampier.Update) error {
+		var r peerpb.WatchResponse
+		if u.Rules != nil {
+			r.Rules = putRules(*u.Rules)
+		}
+		if u.View != nil {
+			r.View = putView(*u.View)
+		}
+		return trace.Wrap(m.Send(&r))
+	})
+}
--- /dev/null
+++ b/process/command.go
@@ -0,0 +1,44 @@
+package process
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/balsampier/balsampier/settings"
+)
+
+// NewCommand returns the command line of a daemon: run and check-config.
+func NewCommand[S any, P interface {
+	*S
+	settings.Checker
+}](name, short string, run func(S) error,
+) *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use: name, Short: short, SilenceUsage: true, SilenceErrors: true,
+		Example: fmt.Sprintf("  %s run --config %s.yaml\n  %s check-config --config %s.yaml", name, name, name, name),
+	}
+	root.PersistentFlags().StringVar(&path, "config", name+".yaml", "settings `file` in YAML")
+	root.AddCommand(&cobra.Command{
+		Use: "run", Short: "Run until SIGTERM, which stops gracefully", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			var s S
+			if err := settings.Load(path, P(&s)); err != nil {
+				return err
+			}
+			return run(s)
+		},
+	}, &cobra.Command{
+		Use: "check-config", Short: "Check the settings and exit", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var s S
+			if err := settings.Load(path, P(&s)); err != nil {
+				return err
+			}
+			c.Println(path + ": the settings are right")
+			return nil
+		},
+	})
+	return root
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,140 @@
+// Package process runs the threads of a program under kratos.
+package process
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/phuslu/log"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// ExitFailure is the exit code after a failure at run time.
+	ExitFailure = 1
+	// ExitInvalid is the exit code for bad input or settings.
+	ExitInvalid = 2
+	// ExitForced is the exit code after a second signal.
+	ExitForced = 3
+
+	stopTimeout = 10 * time.Second
+)
+
+type (
+	// Program is what a process runs.
+	Program struct {
+		// Name stands in the logs.
+		Name string
+		// Servers are the threads and listeners.
+		Servers []transport.Server
+		// Drain runs before the servers are stopped.
+		Drain func(context.Context) error
+		// DrainTimeout bounds Drain.
+		DrainTimeout time.Duration
+		// Logger takes the log.
+		Logger *log.Logger
+	}
+
+	kratosLogger struct{ l *log.Logger }
+)
+
+// NewLogger returns a logger that writes JSON lines to standard error.
+func NewLogger(program, instance string, v log.Level) *log.Logger {
+	return &log.Logger{
+		Level:   v,
+		Context: log.NewContext(nil).Str("program", program).Str("instance", instance).Value(),
+		Writer:  &log.IOWriter{Writer: os.Stderr},
+	}
+}
+
+// Run runs the program until a signal; a second signal ends it at once.
+func Run(p Program) error {
+	// Sockets of the QUIC library are fed from rings, which have no kernel
+	// buffers to enlarge.
+	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
+	forceOnSecondSignal()
+	a := kratos.New(
+		kratos.Name(p.Name),
+		kratos.Logger(kratosLogger{p.Logger}),
+		kratos.Server(p.Servers...),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(stopTimeout),
+		kratos.BeforeStop(func(c context.Context) error {
+			if p.Drain == nil {
+				return nil
+			}
+			c, cancel := context.WithTimeout(c, p.DrainTimeout)
+			defer cancel()
+			if err := p.Drain(c); err != nil {
+				p.Logger.Warn().Err(err).Msg("drain ended early")
+			}
+			return nil
+		}),
+	)
+	return a.Run()
+}
+
+// Listen binds the TCP address of the setting called key.
+func Listen(key string, a netip.AddrPort) (net.Listener, error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", a.String())
+	if err != nil {
+		return nil, balsampier.NewError(balsampier.KindInvalid, "bind "+key, "stop what uses the address or change it in the settings", err)
+	}
+	return l, nil
+}
+
+// Exit ends the process with the exit code that fits err.
+func Exit(err error) {
+	if err == nil {
+		return
+	}
+	_, _ = os.Stderr.WriteString(err.Error() + "\n")
+	if balsampier.KindOf(err) == balsampier.KindInvalid {
+		os.Exit(ExitInvalid)
+	}
+	os.Exit(ExitFailure)
+}
+
+func forceOnSecondSignal() {
+	s := make(chan os.Signal, 2)
+	signal.Notify(s, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-s
+		<-s
+		os.Exit(ExitForced)
+	}()
+}
+
+// Log implements the logger of kratos.
+func (k kratosLogger) Log(v klog.Level, kv ...any) error {
+	e := k.l.WithLevel(level(v))
+	for i := 0; i+1 < len(kv); i += 2 {
+		if s, ok := kv[i].(string); ok {
+			e = e.Any(s, kv[i+1])
+		}
+	}
+	e.Msg("kratos")
+	return nil
+}
+
+func level(v klog.Level) log.Level {
+	switch v {
+	case klog.LevelDebug:
+		return log.DebugLevel
+	case klog.LevelWarn:
+		return log.WarnLevel
+	case klog.LevelError, klog.LevelFatal:
+		return log.ErrorLevel
+	default:
+		return log.InfoLevel
+	}
+}
--- /dev/null
+++ b/query/members/summary.go
@@ -0,0 +1,56 @@
+// Package members answers questions about membership views.
+package members
+
+import "github.com/balsampier/balsampier"
+
+// maxListed bounds the members listed in a summary.
+const maxListed = 200
+
+type (
+	// Summary is a bounded account of a view for dumps.
+	Summary struct {
+		Balancers int `json:"balancers"`
+		Agents    int `json:"agents"`
+		Draining  int `json:"draining"`
+		// Listed holds at most maxListed members.
+		Listed []Listed `json:"listed"`
+		// Omitted counts the members beyond Listed.
+		Omitted int `json:"omitted"`
+	}
+
+	// Listed is one member in a summary.
+	Listed struct {
+		Name        string                 `json:"name"`
+		Role        string                 `json:"role"`
+		Incarnation balsampier.Incarnation `json:"incarnation"`
+		Addr        string                 `json:"address"`
+		Service     balsampier.ServiceName `json:"service,omitempty"`
+		Draining    bool                   `json:"draining,omitempty"`
+	}
+)
+
+// Summarize returns the summary of v.
+func Summarize(v balsampier.View) Summary {
+	var s Summary
+	for _, m := range v.Members {
+		switch m.Role {
+		case balsampier.RoleBalancer:
+			s.Balancers++
+		case balsampier.RoleAgent:
+			s.Agents++
+		case balsampier.RoleControl, balsampier.RoleUnknown:
+		}
+		if m.Draining {
+			s.Draining++
+		}
+		if len(s.Listed) == maxListed {
+			s.Omitted++
+			continue
+		}
+		s.Listed = append(s.Listed, Listed{
+			Name: m.Name, Role: m.Role.String(), Incarnation: m.Incarnation,
+			Addr: m.Addr.String(), Service: m.Service, Draining: m.Draining,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/random/random.go
@@ -0,0 +1,10 @@
+// Package random implements the Random interface.
+package random
+
+import "math/rand/v2"
+
+// System draws from the generator of the runtime.
+type System struct{}
+
+// Uint64 returns a uniformly distributed number.
+func (System) Uint64() uint64 { return rand.Uint64() }
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/balsampier/balsampier"
 )
@@ -64,14 +68,19 @@
 	}
 }
 
-// Push adds v. On a full ring it does what the overflow policy says.
+// Push adds v. On a full ring it does what the ring's policy says.
 func (r *Ring[T]) Push(c context.Context, v T) error {
+	return r.PushWith(c, v, r.overflow)
+}
+
+// PushWith adds v. On a full ring it does what o says.
+func (r *Ring[T]) PushWith(c context.Context, v T, o Overflow) error {
 	for {
 		ok, err := r.tryPush(v)
 		if ok || err != nil {
 			return err
 		}
-		switch r.overflow {
+		switch o {
 		case Reject:
 			r.overflows.Add(1)
 			return balsampier.NewError(balsampier.KindFull, "push to ring "+r.name, "retry later or raise the ring's capacity", nil)
@@ -91,6 +100,11 @@
 
 // Pop waits for values and moves up to len(dst) of them into dst.
 func (r *Ring[T]) Pop(c context.Context, dst []T) (int, error) {
+	return r.PopUntil(c, dst, nil)
+}
+
+// PopUntil is Pop that returns no values once t delivers.
+func (r *Ring[T]) PopUntil(c context.Context, dst []T, t <-chan time.Time) (int, error) {
 	for {
 		n, err := r.tryPop(dst)
 		if n > 0 || err != nil {
@@ -99,6 +113,8 @@
 		select {
 		case <-r.readable:
 		case <-r.done:
+		case <-t:
+			return 0, nil
 		case <-c.Done():
 			return 0, c.Err()
 		}
@@ -173,3 +189,13 @@
 	default:
 	}
 }
+
+// Register exports the depth and the overflows of the ring as metrics.
+func Register[T any](r *Ring[T]) {
+	metrics.GetOrCreateGauge(fmt.Sprintf("balsampier_ring_depth{ring=%q}", r.name), func() float64 {
+		return float64(r.Stats().Depth)
+	})
+	metrics.GetOrCreateGauge(fmt.Sprintf("balsampier_ring_overflows{ring=%q}", r.name), func() float64 {
+		return float64(r.Stats().Overflows)
+	})
+}
