--- /dev/null
+++ b/cmd/agent/app/admission.go
@@ -0,0 +1,185 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/ring"
+)
+
+// admissionTick is how often waiting requests are looked at for deadlines.
+const admissionTick = 10 * time.Millisecond
+
+const (
+	eventOffer eventKind = iota
+	eventDone
+	eventCancel
+	eventSlots
+	eventLoad
+)
+
+type (
+	eventKind uint8
+
+	// admission is the thread that owns the Admitter.
+	admission struct {
+		q      balsampier.Admitter
+		clock  balsampier.Clock
+		events *ring.Ring[event]
+		// waiting holds the answer of every queued ticket.
+		waiting map[balsampier.Ticket]chan bool
+	}
+
+	// event is one message to the thread.
+	event struct {
+		kind   eventKind
+		r      balsampier.Request
+		ticket balsampier.Ticket
+		slots  int
+		// admitted takes the answer to an offer; it has room for it.
+		admitted chan bool
+		// issued takes the ticket of an offer before its answer.
+		issued chan balsampier.Ticket
+		load   chan balsampier.Load
+	}
+)
+
+func newAdmission(q balsampier.Admitter, k balsampier.Clock, depth int) *admission {
+	return &admission{
+		q: q, clock: k, events: ring.New[event]("admission", depth, ring.Block),
+		waiting: make(map[balsampier.Ticket]chan bool),
+	}
+}
+
+// admit waits until the request may run. The returned function must be called
+// when it is through.
+func (a *admission) admit(c context.Context, r balsampier.Request) (done func(), err error) {
+	e := event{kind: eventOffer, r: r, admitted: make(chan bool, 1), issued: make(chan balsampier.Ticket, 1)}
+	if err := a.events.PushWith(c, e, ring.Reject); err != nil {
+		return nil, errNotAdmitted(err)
+	}
+	var k balsampier.Ticket
+	select {
+	case k = <-e.issued:
+	case <-c.Done():
+		// The thread still answers; give the ticket back then.
+		go func() { a.withdraw(<-e.issued, e.admitted) }()
+		return nil, errNotAdmitted(c.Err())
+	}
+	select {
+	case ok := <-e.admitted:
+		if !ok {
+			return nil, errNotAdmitted(nil)
+		}
+		return func() { a.post(event{kind: eventDone, ticket: k}) }, nil
+	case <-c.Done():
+		a.withdraw(k, e.admitted)
+		return nil, errNotAdmitted(c.Err())
+	}
+}
+
+// withdraw cancels a ticket, or frees its slot if it was just admitted.
+func (a *admission) withdraw(k balsampier.Ticket, admitted chan bool) {
+	a.post(event{kind: eventCancel, ticket: k, admitted: admitted})
+}
+
+func (a *admission) setSlots(n int) { a.post(event{kind: eventSlots, slots: n}) }
+
+// load asks the thread for the current load.
+func (a *admission) load(c context.Context) (balsampier.Load, error) {
+	e := event{kind: eventLoad, load: make(chan balsampier.Load, 1)}
+	if err := a.events.PushWith(c, e, ring.Reject); err != nil {
+		return balsampier.Load{}, err
+	}
+	select {
+	case l := <-e.load:
+		return l, nil
+	case <-c.Done():
+		return balsampier.Load{}, c.Err()
+	}
+}
+
+// post must not lose the event; the thread always takes it.
+func (a *admission) post(e event) { _ = a.events.Push(context.Background(), e) }
+
+func (a *admission) run(c context.Context) error {
+	var es [batchSize]event
+	for {
+		var t balsampier.Timer
+		var fired <-chan time.Time
+		if len(a.waiting) > 0 {
+			t = a.clock.NewTimer(admissionTick)
+			fired = t.C()
+		}
+		n, err := a.events.PopUntil(c, es[:], fired)
+		if t != nil {
+			t.Stop()
+		}
+		if err != nil {
+			return err
+		}
+		for _, e := range es[:n] {
+			a.take(e)
+		}
+		a.next()
+	}
+}
+
+func (a *admission) take(e event) {
+	t := a.clock.Now()
+	switch e.kind {
+	case eventOffer:
+		k, v := a.q.Offer(e.r, t)
+		e.issued <- k
+		if v == balsampier.AdmissionQueued {
+			a.waiting[k] = e.admitted
+			return
+		}
+		e.admitted <- v == balsampier.AdmissionRun
+	case eventDone:
+		a.q.Done(e.ticket, t)
+	case eventCancel:
+		a.cancel(e, t)
+	case eventSlots:
+		a.q.SetSlots(e.slots)
+	case eventLoad:
+		e.load <- a.q.Load()
+	}
+}
+
+func (a *admission) cancel(e event, t time.Time) {
+	if _, ok := a.waiting[e.ticket]; ok {
+		delete(a.waiting, e.ticket)
+		a.q.Cancel(e.ticket, t)
+		return
+	}
+	select {
+	case ok := <-e.admitted:
+		if ok {
+			a.q.Done(e.ticket, t)
+		}
+	default:
+	}
+}
+
+func (a *admission) next() {
+	start, refuse := a.q.Next(a.clock.Now())
+	for _, k := range start {
+		a.reply(k, true)
+	}
+	for _, k := range refuse {
+		a.reply(k, false)
+	}
+}
+
+func (a *admission) reply(k balsampier.Ticket, ok bool) {
+	if c, found := a.waiting[k]; found {
+		c <- ok
+		delete(a.waiting, k)
+	}
+}
+
+func errNotAdmitted(err error) error {
+	return balsampier.NewError(balsampier.KindNotRun, "admit request", "send it again later", err)
+}
--- /dev/null
+++ b/cmd/agent/app/app.go
@@ -0,0 +1,240 @@
+// Package app joins the threads of an agent.
+package app
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/phuslu/log"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/backend"
+	"github.com/balsampier/balsampier/caller"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/command/admit"
+	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/duty"
+	"github.com/balsampier/balsampier/fabric"
+	"github.com/balsampier/balsampier/operator"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/process"
+	"github.com/balsampier/balsampier/query/steer"
+	"github.com/balsampier/balsampier/random"
+	"github.com/balsampier/balsampier/ring"
+	"github.com/balsampier/balsampier/settings"
+)
+
+const (
+	batchSize = 64
+
+	// turnAway is how long balancers may take to stop sending new flows after
+	// the agent said that it drains.
+	turnAway = 2 * time.Second
+)
+
+type (
+	// Agent holds the threads and what joins them.
+	Agent struct {
+		s      Settings
+		log    *log.Logger
+		clock  balsampier.Clock
+		random balsampier.Random
+		sealer *peer.Sealer
+		codec  *caller.IDCodec
+		key    []byte
+		cert   *caller.Certificate
+
+		session *control.Session
+		table   atomic.Pointer[steer.Table]
+		self    balsampier.Member
+		// server is what the backend server announced; nil before it did.
+		server atomic.Pointer[announced]
+		// stopping is set once, by the graceful stop.
+		stopping atomic.Bool
+
+		peers     *net.UDPConn
+		envelopes *ring.Ring[[]byte]
+		out       *ring.Ring[outbound]
+		admission *admission
+		streams   atomic.Int64
+		counters  counters
+		// ids makes connection IDs unique across endpoints.
+		ids atomic.Uint32
+
+		mu sync.Mutex
+		// endpoints has an entry for each service address that was used.
+		endpoints map[netip.AddrPort]*endpoint
+	}
+
+	// announced is the backend server beside the agent.
+	announced struct {
+		backend.Announcement
+		proxy *backend.Proxy
+		// since is when the server first announced itself.
+		since time.Time
+	}
+
+	// outbound is one sealed envelope.
+	outbound struct {
+		to netip.AddrPort
+		b  []byte
+	}
+)
+
+// Run runs an agent until it is stopped.
+func Run(s Settings) error {
+	a, err := New(s, clock.System{}, random.System{})
+	if err != nil {
+		return err
+	}
+	o, err := process.Listen("operatorAddress", s.OperatorAddr)
+	if err != nil {
+		return err
+	}
+	b, err := process.Listen("backendAddress", s.BackendAddr)
+	if err != nil {
+		return err
+	}
+	k, err := settings.ReadKey(s.OperatorKeyFile)
+	if err != nil {
+		return err
+	}
+	h := khttp.NewServer(khttp.Listener(b))
+	h.Handle(backend.PathAnnounce, backend.AnnounceHandler(a.announce))
+	servers := append(a.Threads(), operator.NewServer(o, k, a.Dump, a.Ready), h)
+	return process.Run(process.Program{
+		Name: "agent", Servers: servers, Drain: a.Drain, DrainTimeout: s.DrainTimeout, Logger: a.log,
+	})
+}
+
+// New binds the sockets of an agent.
+func New(s Settings, k balsampier.Clock, r balsampier.Random) (*Agent, error) {
+	key, err := settings.ReadKey(s.PeerKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	codec, err := caller.NewIDCodec(key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := caller.LoadCertificate(s.CertFile, s.KeyFile, k)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		s: s, clock: k, random: r, key: key, codec: codec, sealer: peer.NewSealer(key), cert: cert,
+		log:       process.NewLogger("agent", s.Name, s.Level()),
+		envelopes: ring.New[[]byte]("envelopes", s.RingDepth, ring.DropNewest),
+		out:       ring.New[outbound]("outbound", s.RingDepth, ring.DropNewest),
+		endpoints: make(map[netip.AddrPort]*endpoint),
+		counters:  newCounters(),
+		self: balsampier.Member{
+			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleAgent,
+			Incarnation: balsampier.Incarnation(r.Uint64() | 1), DataCentre: s.DataCentre,
+			Addr: s.PeerAddr, PeerAddr: s.PeerAddr,
+		},
+	}
+	a.admission = newAdmission(admit.New(0, s.QueueDepth), k, s.RingDepth)
+	ring.Register(a.envelopes)
+	ring.Register(a.out)
+	ring.Register(a.admission.events)
+	if a.peers, err = fabric.ListenUDP(s.PeerAddr); err != nil {
+		return nil, err
+	}
+	a.session, err = control.NewSession(control.Options{
+		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: a.log,
+		Member: a.Member, Changed: a.changed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	a.changed(a.session.State())
+	return a, nil
+}
+
+// Threads returns the threads of the agent.
+func (a *Agent) Threads() []transport.Server {
+	return append([]transport.Server{
+		duty.New("receive envelopes", a.receive),
+		duty.New("decide on envelopes", a.decide),
+		duty.New("send envelopes", a.send),
+		duty.New("admit requests", a.admission.run),
+		duty.New("close endpoints", a.closeEndpoints),
+	}, a.session.Threads()...)
+}
+
+// Member returns the own member; ok is false until the backend server
+// announced itself.
+func (a *Agent) Member() (balsampier.Member, bool) {
+	v := a.server.Load()
+	if v == nil {
+		return a.self, false
+	}
+	m := a.self
+	m.Service, m.Slots = v.Service, v.Slots
+	m.Draining = v.Draining || a.stopping.Load()
+	return m, true
+}
+
+// Ready returns an error while the agent takes no new work.
+func (a *Agent) Ready() error {
+	m, ok := a.Member()
+	switch {
+	case !ok:
+		return balsampier.NewError(balsampier.KindUnavailable, "check readiness", "let the backend server announce itself", nil)
+	case m.Draining:
+		return balsampier.NewError(balsampier.KindClosed, "check readiness", "use another agent; this one drains", nil)
+	case !a.session.Ready():
+		return balsampier.NewError(balsampier.KindUnavailable, "check readiness", "wait until a control instance is reached", nil)
+	}
+	return nil
+}
+
+// Drain lets balancers turn away, then asks callers to go away and waits for
+// running requests.
+func (a *Agent) Drain(c context.Context) error {
+	a.stopping.Store(true)
+	a.session.Nudge()
+	t := a.clock.NewTimer(turnAway)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-c.Done():
+		return c.Err()
+	}
+	return a.shutdownEndpoints(c)
+}
+
+// announce takes what the backend server says of itself.
+func (a *Agent) announce(n backend.Announcement) error {
+	old := a.server.Load()
+	if old != nil && old.Service != n.Service {
+		return balsampier.NewError(balsampier.KindConflict, "change service "+string(old.Service)+" to "+string(n.Service),
+			"restart the agent, so that no caller of the one reaches the other", nil)
+	}
+	if old != nil && old.Announcement == n {
+		return nil
+	}
+	v := &announced{Announcement: n, since: a.clock.Now()}
+	if old != nil {
+		v.since = old.since
+	}
+	if old != nil && old.Addr == n.Addr {
+		v.proxy = old.proxy
+	} else {
+		v.proxy = backend.NewProxy(n.Addr)
+	}
+	a.server.Store(v)
+	a.admission.setSlots(n.Slots)
+	a.log.Info().Str("service", string(n.Service)).Stringer("address", n.Addr).Bool("draining", n.Draining).Msg("backend server announced")
+	a.session.Nudge()
+	return nil
+}
+
+func (a *Agent) changed(s control.State) { a.table.Store(steer.New(s.Table, s.View)) }
--- /dev/null
+++ b/cmd/agent/app/settings.go
@@ -0,0 +1,91 @@
+package app
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/balsampier/balsampier/settings"
+)
+
+const (
+	defaultRingDepth    = 8192
+	defaultQueueDepth   = 256
+	defaultDrainTimeout = 24 * time.Hour
+)
+
+type (
+	// Settings are the settings of an agent.
+	Settings struct {
+		settings.Common `yaml:",inline"`
+		// PeerAddr receives envelopes over UDP and calls over TCP.
+		PeerAddr netip.AddrPort `yaml:"peerAddress"`
+		// Control lists the peer addresses of the control instances.
+		Control []netip.AddrPort `yaml:"control"`
+		// BackendAddr is where the backend server announces itself.
+		BackendAddr netip.AddrPort `yaml:"backendAddress"`
+		// CertFile and KeyFile hold the certificate shown to callers.
+		CertFile string `yaml:"certFile"`
+		KeyFile  string `yaml:"keyFile"`
+		// Requests tells kinds of requests apart; the first match wins.
+		Requests []RequestKind `yaml:"requests"`
+		// QueueDepth bounds the waiting requests of each class.
+		QueueDepth int `yaml:"queueDepth"`
+		// RingDepth is the capacity of each ring.
+		RingDepth int `yaml:"ringDepth"`
+		// DrainTimeout bounds how long a stop waits for running requests.
+		DrainTimeout time.Duration `yaml:"drainTimeout"`
+	}
+
+	// RequestKind says how to treat some requests.
+	RequestKind struct {
+		// Method is an HTTP method; empty matches all.
+		Method string `yaml:"method"`
+		// PathPrefix is the start of the path; empty matches all.
+		PathPrefix string `yaml:"pathPrefix"`
+		// Class is urgent or normal; empty takes the class of the rule.
+		Class string `yaml:"class"`
+		// Stream requests take a connection and no slot.
+		Stream bool `yaml:"stream"`
+	}
+)
+
+// SetDefaults fills what was left out.
+func (s *Settings) SetDefaults() {
+	s.Common.SetDefaults()
+	if s.RingDepth == 0 {
+		s.RingDepth = defaultRingDepth
+	}
+	if s.QueueDepth == 0 {
+		s.QueueDepth = defaultQueueDepth
+	}
+	if s.DrainTimeout == 0 {
+		s.DrainTimeout = defaultDrainTimeout
+	}
+}
+
+// Check adds a fault for everything that is wrong.
+func (s *Settings) Check(f *settings.Faults) {
+	s.Common.Check(f)
+	f.Addr("peerAddress", s.PeerAddr)
+	f.Addr("backendAddress", s.BackendAddr)
+	f.File("certFile", s.CertFile)
+	f.File("keyFile", s.KeyFile)
+	f.Positive("queueDepth", s.QueueDepth)
+	f.Positive("ringDepth", s.RingDepth)
+	f.Positive("drainTimeout", int(s.DrainTimeout))
+	if len(s.Control) == 0 {
+		f.Add("control", "", "list the peer addresses of the control instances")
+	}
+	for i, r := range s.Requests {
+		if r.Class != "" && r.Class != "urgent" && r.Class != "normal" {
+			f.Add(fmt.Sprintf("requests[%d].class", i), r.Class, "write urgent or normal, or leave it out")
+		}
+	}
+}
+
+// matches reports whether the kind covers a request.
+func (k RequestKind) matches(method, path string) bool {
+	return (k.Method == "" || k.Method == method) && strings.HasPrefix(path, k.PathPrefix)
+}
--- /dev/null
+++ b/cmd/balancer/app/app.go
@@ -0,0 +1,215 @@
+// Package app joins the threads of a balancer.
+package app
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/phuslu/log"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/caller"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/duty"
+	"github.com/balsampier/balsampier/fabric"
+	"github.com/balsampier/balsampier/operator"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/process"
+	"github.com/balsampier/balsampier/query/steer"
+	"github.com/balsampier/balsampier/random"
+	"github.com/balsampier/balsampier/ring"
+	"github.com/balsampier/balsampier/settings"
+)
+
+const (
+	batchSize = 64
+
+	// drainTimeout bounds a graceful stop. A balancer keeps no flow, so that
+	// it only has to wait until the fabric and the agents turn away.
+	drainTimeout = 3 * time.Second
+)
+
+type (
+	// Balancer holds the threads and what joins them.
+	Balancer struct {
+		s      Settings
+		log    *log.Logger
+		clock  balsampier.Clock
+		sealer *peer.Sealer
+		codec  *caller.IDCodec
+		key    []byte
+
+		session *control.Session
+		table   atomic.Pointer[steer.Table]
+		member  balsampier.Member
+		// draining is set once, by the graceful stop.
+		draining atomic.Bool
+
+		// sockets and refusers have an entry for each service address.
+		sockets  map[netip.AddrPort]*fabric.Socket
+		refusers map[netip.AddrPort]*caller.Endpoint
+		peers    *net.UDPConn
+
+		packets   *ring.Ring[fabric.Datagram]
+		envelopes *ring.Ring[envelope]
+		answers   *ring.Ring[[]byte]
+		counters  counters
+	}
+
+	// envelope is one sealed envelope on its way to an agent.
+	envelope struct {
+		to netip.AddrPort
+		b  []byte
+	}
+)
+
+// Run runs a balancer until it is stopped.
+func Run(s Settings) error {
+	b, err := New(s, clock.System{}, random.System{})
+	if err != nil {
+		return err
+	}
+	l, err := process.Listen("operatorAddress", s.OperatorAddr)
+	if err != nil {
+		return err
+	}
+	k, err := settings.ReadKey(s.OperatorKeyFile)
+	if err != nil {
+		return err
+	}
+	servers := append(b.Threads(), operator.NewServer(l, k, b.Dump, b.Ready))
+	return process.Run(process.Program{
+		Name: "balancer", Servers: servers, Drain: b.Drain, DrainTimeout: drainTimeout, Logger: b.log,
+	})
+}
+
+// New binds the sockets of a balancer.
+func New(s Settings, k balsampier.Clock, r balsampier.Random) (*Balancer, error) {
+	key, err := settings.ReadKey(s.PeerKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	codec, err := caller.NewIDCodec(key)
+	if err != nil {
+		return nil, err
+	}
+	b := &Balancer{
+		s: s, clock: k, key: key, codec: codec, sealer: peer.NewSealer(key),
+		log:       process.NewLogger("balancer", s.Name, s.Level()),
+		sockets:   make(map[netip.AddrPort]*fabric.Socket),
+		refusers:  make(map[netip.AddrPort]*caller.Endpoint),
+		packets:   ring.New[fabric.Datagram]("packets", s.RingDepth, ring.DropNewest),
+		envelopes: ring.New[envelope]("envelopes", s.RingDepth, ring.DropNewest),
+		answers:   ring.New[[]byte]("answers", s.RingDepth, ring.DropNewest),
+		member: balsampier.Member{
+			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleBalancer,
+			Incarnation: balsampier.Incarnation(r.Uint64() | 1), DataCentre: s.DataCentre, Addr: s.PeerAddr,
+		},
+	}
+	b.counters = newCounters()
+	ring.Register(b.packets)
+	ring.Register(b.envelopes)
+	ring.Register(b.answers)
+	if b.peers, err = fabric.ListenUDP(s.PeerAddr); err != nil {
+		return nil, err
+	}
+	for _, v := range s.Services {
+		if err := b.listen(v); err != nil {
+			return nil, err
+		}
+	}
+	b.session, err = control.NewSession(control.Options{
+		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: b.log,
+		Member: b.Member, Changed: b.changed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	b.changed(b.session.State())
+	return b, nil
+}
+
+// Threads returns the threads of the balancer.
+func (b *Balancer) Threads() []transport.Server {
+	ts := []transport.Server{
+		duty.New("steer packets", b.steer),
+		duty.New("send envelopes", b.sendEnvelopes),
+		duty.New("receive answers", b.receiveAnswers),
+		duty.New("send answers", b.sendAnswers),
+	}
+	for a, s := range b.sockets {
+		ts = append(ts, duty.New("receive "+a.String(), func(c context.Context) error {
+			return s.Receive(c, func(d fabric.Datagram) error { return b.packets.Push(c, d) })
+		}), duty.New("refuse "+a.String(), b.refuse(b.refusers[a])))
+	}
+	return append(ts, b.session.Threads()...)
+}
+
+// Member returns the own member.
+func (b *Balancer) Member() (balsampier.Member, bool) {
+	m := b.member
+	m.Draining = b.draining.Load()
+	return m, true
+}
+
+// Ready returns an error until rules and membership were received, and while
+// the balancer stops.
+func (b *Balancer) Ready() error {
+	if b.draining.Load() {
+		return balsampier.NewError(balsampier.KindClosed, "check readiness", "use another balancer; this one is stopping", nil)
+	}
+	if !b.session.Ready() {
+		return balsampier.NewError(balsampier.KindUnavailable, "check readiness", "wait until a control instance is reached", nil)
+	}
+	return nil
+}
+
+// Drain tells the fabric and the agents to turn away, while packets are still
+// forwarded.
+func (b *Balancer) Drain(c context.Context) error {
+	b.draining.Store(true)
+	b.session.Nudge()
+	t := b.clock.NewTimer(drainTimeout)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-c.Done():
+	}
+	return nil
+}
+
+func (b *Balancer) listen(v Service) error {
+	s, err := fabric.Listen(v.Addr, v.Bind, b.clock)
+	if err != nil {
+		return err
+	}
+	b.sockets[v.Addr] = s
+	e, err := caller.NewEndpoint(caller.Options{
+		ServiceAddr: v.Addr, Holder: b.member.Holder(), Codec: b.codec, Key: b.key,
+		Accept: refuseAll, Send: s.Send, Count: new(atomic.Uint32),
+	})
+	if err != nil {
+		return err
+	}
+	b.refusers[v.Addr] = e
+	return nil
+}
+
+func (b *Balancer) changed(s control.State) { b.table.Store(steer.New(s.Table, s.View)) }
+
+func (b *Balancer) refuse(e *caller.Endpoint) func(context.Context) error {
+	return func(c context.Context) error {
+		stop := context.AfterFunc(c, func() { _ = e.Close() })
+		defer stop()
+		return e.Serve()
+	}
+}
+
+func refuseAll(netip.AddrPort) error {
+	return balsampier.NewError(balsampier.KindNotRun, "accept connection", "ask when a rule is in force", nil)
+}
--- /dev/null
+++ b/cmd/balancer/app/steer.go
@@ -0,0 +1,132 @@
+package app
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/fabric"
+	"github.com/balsampier/balsampier/peer"
+)
+
+// steer decides on each packet and hands it on.
+func (b *Balancer) steer(c context.Context) error {
+	var ds [batchSize]fabric.Datagram
+	for {
+		n, err := b.packets.Pop(c, ds[:])
+		if err != nil {
+			return err
+		}
+		t := b.table.Load()
+		for i := range ds[:n] {
+			b.handle(c, t, ds[i])
+			ds[i].Free()
+			ds[i] = fabric.Datagram{}
+		}
+	}
+}
+
+func (b *Balancer) handle(c context.Context, s balsampier.FlowSteerer, d fabric.Datagram) {
+	if len(d.Payload) > peer.MaxPayloadBytes {
+		b.counters.drop("tooLarge")
+		return
+	}
+	p, ok := b.codec.ReadPacket(d.Payload, d.Caller, d.ServiceAddr, d.At)
+	if !ok {
+		b.counters.drop("notQUIC")
+		return
+	}
+	v := s.Steer(p)
+	switch v.Action {
+	case balsampier.ActionForward:
+		b.forward(c, p, v, d.Payload)
+	case balsampier.ActionRefuse, balsampier.ActionReset:
+		b.counters.refused(v.Reason)
+		payload := append([]byte(nil), d.Payload...)
+		_ = b.refusers[d.ServiceAddr].Deliver(c, payload, d.Caller)
+	case balsampier.ActionDrop, balsampier.ActionWait:
+		b.counters.drop(v.Reason.String())
+	}
+}
+
+func (b *Balancer) forward(c context.Context, p balsampier.Packet, v balsampier.Verdict, payload []byte) {
+	e := peer.Envelope{
+		Service: v.Service, Caller: p.Caller, ServiceAddr: p.ServiceAddr, ReplyTo: b.s.PeerAddr,
+		Revision: v.Revision, Epoch: v.Epoch, Incarnation: v.Target.Incarnation, Hops: 1,
+		Opening: p.Opening, Flow: p.Flow, Payload: payload,
+	}
+	o, err := b.sealer.Seal(make([]byte, 0, peer.MaxEnvelopeBytes), &e)
+	if err != nil {
+		b.counters.drop("encode")
+		return
+	}
+	b.counters.forwarded.Inc()
+	_ = b.envelopes.Push(c, envelope{to: v.Addr, b: o})
+}
+
+func (b *Balancer) sendEnvelopes(c context.Context) error {
+	var es [batchSize]envelope
+	for {
+		n, err := b.envelopes.Pop(c, es[:])
+		if err != nil {
+			return err
+		}
+		for _, e := range es[:n] {
+			if _, err := b.peers.WriteToUDPAddrPort(e.b, e.to); err != nil {
+				b.counters.drop("send")
+			}
+		}
+	}
+}
+
+func (b *Balancer) receiveAnswers(c context.Context) error {
+	stop := context.AfterFunc(c, func() { _ = b.peers.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
+	for {
+		o := make([]byte, peer.MaxEnvelopeBytes)
+		n, _, err := b.peers.ReadFromUDPAddrPort(o)
+		if c.Err() != nil {
+			return c.Err()
+		}
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := b.answers.Push(c, o[:n]); err != nil {
+			return err
+		}
+	}
+}
+
+func (b *Balancer) sendAnswers(c context.Context) error {
+	var as [batchSize][]byte
+	for {
+		n, err := b.answers.Pop(c, as[:])
+		if err != nil {
+			return err
+		}
+		for _, a := range as[:n] {
+			b.answer(a)
+		}
+	}
+}
+
+func (b *Balancer) answer(a []byte) {
+	e, err := b.sealer.Open(a)
+	if err != nil {
+		b.counters.drop("envelope")
+		return
+	}
+	s, ok := b.sockets[e.ServiceAddr]
+	if !ok || !e.ToCaller {
+		b.counters.drop("serviceAddress")
+		return
+	}
+	if err := s.Send(e.Payload, netip.AddrPortFrom(e.Caller.Addr().Unmap(), e.Caller.Port())); err != nil {
+		b.counters.drop("send")
+		return
+	}
+	b.counters.answered.Inc()
+}
