--- /dev/null
+++ b/demo/demo.sh
@@ -0,0 +1,73 @@
+#!/usr/bin/env bash
+# Runs the main job on loopback with separate processes and checks each result.
+set -euo pipefail
+# shellcheck source=demo/lib.sh
+. "$(dirname "$0")/lib.sh"
+trap 'stop_all' EXIT
+control_peers='["127.0.3.1:7000"]'
+control_urls=http://127.0.3.1:7100
+
+echo "starting one control instance, two balancers, four agents and the stand-ins"
+secrets
+control_settings 1
+start control-1 "$bin/control" run --config "$run/control-1.yaml"
+for n in 1 2; do
+  balancer_settings $n 8443 8444 8445
+  start balancer-$n "$bin/balancer" run --config "$run/balancer-$n.yaml"
+done
+start_agent 1 reservas
+start_agent 2 reservas
+start_agent 3 galeria
+start_agent 4 galeria
+routes=()
+for p in 8443 8444 8445; do routes+=(--route "127.0.0.1:$p=127.0.1.1:$p,127.0.1.2:$p"); done
+start fabric "$bin/standin" fabric "${routes[@]}"
+
+cat >"$run/rules.txt" <<'RULES'
+rule reservas to 127.0.0.1:8443 from 0.0.0.0/0 daily 00:00-24:00 America/Lima class urgent # Rosa, all day
+rule galeria to 127.0.0.1:8444 from 0.0.0.0/0 # Rosa, photos
+clock America/Lima at 2027-03-14T02:00 offset -04:00 # decree of 2027-02-20
+RULES
+check "members announce themselves" eventually 10 in_force 0 6
+check "the rule file is accepted" operate submit "$run/rules.txt"
+check "it is in force on every balancer and agent" eventually 10 in_force 1 6
+
+expect() { # TEXT COMMAND... succeeds when the output is TEXT
+  local want=$1 got
+  shift
+  got=$("$@") || return 1
+  [ "$got" = "$want" ] || { echo "got: $got"; return 1; }
+}
+check "GET reaches reservas" expect "reservas GET /slots " call https://127.0.0.1:8443/slots
+check "POST reaches reservas" expect "reservas POST /holds bench 4" call --method POST --body "bench 4" https://127.0.0.1:8443/holds
+check "GET reaches galeria" expect "galeria GET /photo/1 " call https://127.0.0.1:8444/photo/1
+check "200 holds by 20 callers run once each" call --keyed --method POST --callers 20 --count 10 --body hold --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
+ran_once() { [ "$(grep -c '"hold' "$run/backend.ledger")" = 200 ] && [ -z "$(grep '"hold' "$run/backend.ledger" | awk '{print $4}' | sort | uniq -d)" ]; }
+check "the backend servers' ledger agrees" ran_once
+refused() { { call --timeout 3s https://127.0.0.1:8445/ 2>&1 || true; } | grep CONNECTION_REFUSED; }
+check "where no rule is in force, the connection is refused" refused
+
+start stream "$bin/standin" caller --ca "$run/cert.pem" --stream --callers 5 "https://127.0.0.1:8443/stream?lines=80"
+sleep 2
+stop balancer-1 KILL
+sleep 2
+start balancer-1 "$bin/balancer" run --config "$run/balancer-1.yaml"
+sleep 1
+stop balancer-2 KILL
+start balancer-2 "$bin/balancer" run --config "$run/balancer-2.yaml"
+check "5 streams stay whole while both balancers are killed and restarted in turn" wait "${pids[stream]}"
+unset "pids[stream]"
+
+echo "rule reservas to 127.0.0.1" >"$run/bad.txt"
+bad() { local code=0; operate submit "$run/bad.txt" || code=$?; [ "$code" = 2 ]; }
+check "a malformed rule file is refused with exit code 2" bad
+sed -i 's/photos/photos, asked again/' "$run/rules.txt"
+check "an edited file is accepted" operate submit "$run/rules.txt"
+check "revision 2 is in force everywhere" eventually 10 in_force 2 6
+stop control-1 KILL
+start control-1 "$bin/control" run --config "$run/control-1.yaml"
+check "control killed and restarted still has revision 2 in force everywhere" eventually 15 in_force 2 6
+check "requests are served afterwards" expect "galeria GET /photo/2 " call https://127.0.0.1:8444/photo/2
+stop agent-4 TERM
+check "after one agent was stopped, galeria is served by the other" expect "galeria GET /photo/3 " call https://127.0.0.1:8444/photo/3
+finish
