perf: measure relay throughput against a bare relay

Cause: the design bounds the balancer's relay throughput at 0.6 of a bare UDP relay with the same system calls; nothing measured it. Change: command bench floods both in turns in one run; the balancer takes its control client as an interface, so that the bench can give it a view.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := . $(sort $(patsubst %/go.mod,%,$(wildcard cmd/*/go.mod standin/go.mod)))
 export GOWORK := $(CURDIR)/go.work
 
-.PHONY: test demo build fmt lint unit generate
+.PHONY: test demo bench build fmt lint unit generate
 
 test: lint unit
 
@@ -20,6 +20,9 @@
 	@mkdir -p bin
 	@for m in $(filter-out .,$(MODULES)); do (cd $$m && go build -o $(CURDIR)/bin/ ./...) || exit 1; done
 
+bench: build
+	@bin/bench
+
 demo: build
 	@bash demo/demo.sh
 
--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -70,7 +70,11 @@
 
 // Run runs a balancer until it is stopped.
 func Run(s Settings) error {
-	b, err := New(s, clock.System{}, random.System{})
+	key, err := settings.ReadKey(s.PeerKeyFile)
+	if err != nil {
+		return err
+	}
+	b, err := New(s, clock.System{}, random.System{}, key, peer.NewControlClient(peer.NewKey(key), s.Control, random.System{}))
 	if err != nil {
 		return err
 	}
@@ -88,12 +92,8 @@
 	})
 }
 
-// New binds the sockets of a balancer.
-func New(s Settings, k balsampier.Clock, r balsampier.Random) (*Balancer, error) {
-	key, err := settings.ReadKey(s.PeerKeyFile)
-	if err != nil {
-		return nil, err
-	}
+// New binds the sockets of a balancer. key is shared by all processes.
+func New(s Settings, k balsampier.Clock, r balsampier.Random, key []byte, l balsampier.ControlClient) (*Balancer, error) {
 	codec, err := caller.NewIDCodec(key)
 	if err != nil {
 		return nil, err
@@ -124,7 +124,7 @@
 		}
 	}
 	b.session, err = control.NewSession(control.Options{
-		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: b.log,
+		Client: l, Clock: k, Random: r, Logger: b.log,
 		Member: b.Member, Changed: b.changed,
 	})
 	if err != nil {
