--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -13,41 +13,52 @@
 const MaxAnswers = 10_000
 
 type (
-	// State is the replicated state of control.
+	// State is the replicated state of control. A State must not be copied
+	// after its first use; Snapshot and Restore copy it.
 	State struct {
 		// Rules is the accepted rule file; its revision never falls.
 		Rules balsampier.RuleFile
-		// View is the membership; its epoch never falls.
+		// View is the membership; its epoch never falls. Its members are never
+		// changed in place, so that readers may keep a view.
 		View balsampier.View
 		// Answers holds the newest MaxAnswers answers, oldest first.
 		Answers []balsampier.SubmissionAnswer
+
+		// index has the answer of each element of Answers; it is rebuilt when
+		// Answers was set from outside.
+		index map[balsampier.SubmissionID]balsampier.SubmissionAnswer
 	}
 
 	// MembershipChange is one batch of joined, changed and left members.
 	MembershipChange struct {
 		// Joined are members that are new or changed.
 		Joined []balsampier.Member
-		// Left are the members to remove.
+		// Left are the members to remove. A member in Joined and in Left
+		// stays.
 		Left []balsampier.InstanceID
 	}
 )
 
 // Answer returns the recorded answer to a submission.
 func (s *State) Answer(id balsampier.SubmissionID) (balsampier.SubmissionAnswer, bool) {
-	for i := len(s.Answers) - 1; i >= 0; i-- {
-		if s.Answers[i].ID == id {
-			return s.Answers[i], true
-		}
+	if s.index == nil || len(s.index) != len(s.Answers) {
+		s.reindex()
 	}
-	return balsampier.SubmissionAnswer{}, false
+	a, ok := s.index[id]
+	return a, ok
 }
 
 // Submit accepts a submission on the current revision and refuses all others.
-// A resend gets its first answer.
+// A resend gets its first answer. Once that is forgotten, the base revision
+// keeps the resend from being accepted again: revisions only grow, so a base
+// that was accepted on is never current again.
 func (s *State) Submit(b balsampier.Submission) balsampier.SubmissionAnswer {
 	if a, ok := s.Answer(b.ID); ok {
 		return a
 	}
+	if s.Rules.Revision > 0 && s.Rules.Submission == b.ID {
+		return balsampier.SubmissionAnswer{ID: b.ID, Accepted: true, Revision: s.Rules.Revision}
+	}
 	a := balsampier.SubmissionAnswer{ID: b.ID, Accepted: b.Base == s.Rules.Revision, Revision: s.Rules.Revision}
 	if a.Accepted {
 		a.Revision++
@@ -55,22 +66,62 @@
 			Revision: a.Revision, Text: b.Text, Zones: b.Zones, Submission: b.ID, AcceptedAt: b.At,
 		}
 	}
-	s.Answers = append(s.Answers, a)
-	if n := len(s.Answers) - MaxAnswers; n > 0 {
-		s.Answers = slices.Delete(s.Answers, 0, n)
-	}
+	s.remember(a)
 	return a
 }
 
 // ChangeMembers applies one batch and raises the epoch by one.
 func (s *State) ChangeMembers(c MembershipChange) {
-	next := make([]balsampier.Member, 0, len(s.View.Members)+len(c.Joined))
-	for _, m := range s.View.Members {
-		if !slices.Contains(c.Left, m.ID) && !slices.ContainsFunc(c.Joined, func(j balsampier.Member) bool { return j.ID == m.ID }) {
-			next = append(next, m)
+	s.View = balsampier.View{Epoch: s.View.Epoch + 1, Members: merge(s.View.Members, c)}
+}
+
+func (s *State) remember(a balsampier.SubmissionAnswer) {
+	s.Answers = append(s.Answers, a)
+	s.index[a.ID] = a
+	for len(s.Answers) > MaxAnswers {
+		delete(s.index, s.Answers[0].ID)
+		s.Answers = s.Answers[1:]
+	}
+}
+
+func (s *State) reindex() {
+	s.index = make(map[balsampier.SubmissionID]balsampier.SubmissionAnswer, len(s.Answers))
+	for _, a := range s.Answers {
+		s.index[a.ID] = a
+	}
+}
+
+// merge returns the members after the change, sorted by ID, in one pass over
+// both sorted lists.
+func merge(ms []balsampier.Member, c MembershipChange) []balsampier.Member {
+	joined := sortedByID(c.Joined)
+	left := slices.Sorted(slices.Values(c.Left))
+	out := make([]balsampier.Member, 0, len(ms)+len(joined))
+	for _, m := range ms {
+		for len(joined) > 0 && joined[0].ID < m.ID {
+			out = append(out, joined[0])
+			joined = joined[1:]
+		}
+		if len(joined) > 0 && joined[0].ID == m.ID {
+			continue
+		}
+		if _, ok := slices.BinarySearch(left, m.ID); !ok {
+			out = append(out, m)
+		}
+	}
+	return append(out, joined...)
+}
+
+// sortedByID returns the members sorted by ID; of equal IDs the last one
+// stays.
+func sortedByID(ms []balsampier.Member) []balsampier.Member {
+	s := slices.Clone(ms)
+	slices.SortStableFunc(s, func(a, b balsampier.Member) int { return cmp.Compare(a.ID, b.ID) })
+	out := s[:0]
+	for i, m := range s {
+		if i+1 == len(s) || s[i+1].ID != m.ID {
+			out = append(out, m)
 		}
 	}
-	next = append(next, c.Joined...)
-	slices.SortFunc(next, func(a, b balsampier.Member) int { return cmp.Compare(a.ID, b.ID) })
-	s.View = balsampier.View{Epoch: s.View.Epoch + 1, Members: next}
+	return out
 }
--- /dev/null
+++ b/command/apply/snapshot.go
@@ -0,0 +1,47 @@
+package apply
+
+import (
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+)
+
+// Snapshot is the whole replicated state as values that share nothing with
+// the State they were taken from, but for members and zones, which are never
+// changed in place.
+type Snapshot struct {
+	// Rules is the accepted rule file.
+	Rules balsampier.RuleFile
+	// View is the membership.
+	View balsampier.View
+	// Answers holds at most MaxAnswers answers, oldest first, without repeats
+	// of an ID.
+	Answers []balsampier.SubmissionAnswer
+}
+
+// Snapshot returns the state as of the last applied entry.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{Rules: s.Rules, View: s.View, Answers: slices.Clone(s.Answers)}
+}
+
+// Restore returns the state that a snapshot was taken of.
+func Restore(p Snapshot) (*State, error) {
+	s := &State{Rules: p.Rules, View: p.View, Answers: slices.Clone(p.Answers)}
+	s.reindex()
+	if len(s.index) != len(s.Answers) || len(s.Answers) > MaxAnswers {
+		return nil, trace.Wrap(corrupt(), "restore %d answers with %d submissions", len(s.Answers), len(s.index))
+	}
+	for i := 1; i < len(s.View.Members); i++ {
+		if s.View.Members[i-1].ID >= s.View.Members[i].ID {
+			return nil, trace.Wrap(corrupt(), "restore view: member %d is out of order", i)
+		}
+	}
+	return s, nil
+}
+
+func corrupt() error {
+	return balsampier.NewError(balsampier.KindCorrupt, "restore snapshot",
+		"replace the disk of this control instance and start it blank", nil)
+}
