feat: lease members through digests, with epochs that become active

Cause: the table knew neither digests, nor acknowledged epochs, nor clocks that drift, and logged each change at once.

Change: control instances pass digests (a bitmap over the view, what lags, what changed); a grant needs the committed view and the newest active epoch; a new leader grants whole new terms and asks for its first epoch; a member counts a shorter term from the sending of its renewal (driftParts); changes are batched, draining and stopping members go first, and members that restart all the time stay out for a while. Of two incarnations of a name the higher one stays, so that a late report brings no replaced one back; Incarnation now grows. Committed or Dropped must follow each batch of Changes.

Conclusion: epochs and terms are soft state of the leader; only the view is replicated.

--- a/balsampier.go
+++ b/balsampier.go
@@ -27,7 +27,7 @@
 	InstanceID uint64
 
 	// Incarnation tells one run of an instance from the next. Zero is not an
-	// incarnation.
+	// incarnation. Later runs have higher ones.
 	Incarnation uint32
 
 	// Epoch numbers membership views. Epochs only grow.
@@ -54,7 +54,7 @@
 		Name string
 		// Role is never RoleUnknown.
 		Role Role
-		// Incarnation changes with every restart of the process.
+		// Incarnation grows with every restart of the process.
 		Incarnation Incarnation
 		// DataCentre may be empty where the operator runs a single one.
 		DataCentre DataCentre
--- /dev/null
+++ b/command/lease/collector.go
@@ -0,0 +1,136 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/balsampier/balsampier"
+)
+
+// maxCollected bounds the renewals that wait at one control instance.
+const maxCollected = 20_000
+
+type (
+	// Collector gathers renewals at a control instance until the leader has
+	// confirmed them. Members are answered only then, as only the leader
+	// grants leases.
+	Collector struct {
+		// view is the newest view that the instance has applied.
+		view balsampier.View
+		// waiting are the renewals of the next digest.
+		waiting map[balsampier.Holder]Report
+		// sent are the renewals of the digest under way; empty when there is
+		// none.
+		sent map[balsampier.Holder]Report
+		// sequence is that of the newest digest.
+		sequence uint64
+	}
+
+	// Answer is what a member is told.
+	Answer struct {
+		Holder balsampier.Holder
+		Grant  Grant
+		// Err is of KindConflict when the incarnation was replaced.
+		Err error
+	}
+)
+
+// NewCollector returns a collector without renewals.
+func NewCollector() *Collector {
+	return &Collector{waiting: make(map[balsampier.Holder]Report), sent: make(map[balsampier.Holder]Report)}
+}
+
+// SetView tells the collector of a newer view.
+func (k *Collector) SetView(v balsampier.View) {
+	if v.Epoch > k.view.Epoch {
+		k.view = v
+	}
+}
+
+// Add takes a renewal. The error is of KindFull when too many wait.
+func (k *Collector) Add(r Report) error {
+	h := r.Member.Holder()
+	if _, ok := k.waiting[h]; !ok && len(k.waiting)+len(k.sent) >= maxCollected {
+		return balsampier.NewError(balsampier.KindFull, "renew lease", "renew at another control instance", nil)
+	}
+	k.waiting[h] = r
+	return nil
+}
+
+// Digest returns the next digest, in which members with revision n in force
+// take the least room. It returns none while another one is under way or when
+// there is nothing to pass on.
+func (k *Collector) Digest(n balsampier.Revision) (Digest, bool) {
+	if len(k.sent) > 0 || len(k.waiting) == 0 {
+		return Digest{}, false
+	}
+	k.sent, k.waiting = k.waiting, k.sent
+	k.sequence++
+	return k.build(n), true
+}
+
+// Confirmed takes the receipt of the digest under way and returns what to
+// answer to its members. Other receipts are late and have no answers.
+func (k *Collector) Confirmed(rc Receipt) []Answer {
+	if rc.Sequence != k.sequence {
+		return nil
+	}
+	conflicting, waiting := setOf(rc.Conflicting), setOf(rc.Waiting)
+	out := make([]Answer, 0, len(k.sent))
+	for h, r := range k.sent {
+		a := Answer{Holder: h, Grant: rc.Grant}
+		if _, ok := waiting[h]; ok {
+			a.Grant.Term = 0
+		}
+		if _, ok := conflicting[h]; ok {
+			a.Grant, a.Err = Grant{}, conflict(r.Member)
+		}
+		out = append(out, a)
+	}
+	clear(k.sent)
+	slices.SortFunc(out, func(x, y Answer) int {
+		return cmp.Or(cmp.Compare(x.Holder.Instance, y.Holder.Instance), cmp.Compare(x.Holder.Incarnation, y.Holder.Incarnation))
+	})
+	return out
+}
+
+// Failed puts the renewals of the digest under way into the next one.
+func (k *Collector) Failed() {
+	for h, r := range k.sent {
+		if _, ok := k.waiting[h]; !ok {
+			k.waiting[h] = r
+		}
+	}
+	clear(k.sent)
+}
+
+func (k *Collector) build(n balsampier.Revision) Digest {
+	d := Digest{
+		Sequence: k.sequence, Epoch: k.view.Epoch, Revision: n,
+		Alive: make(Bitmap, (len(k.view.Members)+7)/8),
+	}
+	for _, r := range k.sent {
+		i, ok := index(k.view, r.Member)
+		switch {
+		case !ok:
+			d.Changed = append(d.Changed, r)
+		case r.Applied == n && r.Acknowledged == k.view.Epoch:
+			d.Alive.Set(i)
+		default:
+			d.Lagging = append(d.Lagging, Lagging{Index: i, Applied: r.Applied, Acknowledged: r.Acknowledged})
+		}
+	}
+	slices.SortFunc(d.Lagging, func(x, y Lagging) int { return cmp.Compare(x.Index, y.Index) })
+	slices.SortFunc(d.Changed, func(x, y Report) int {
+		return cmp.Or(cmp.Compare(x.Member.ID, y.Member.ID), cmp.Compare(x.Member.Incarnation, y.Member.Incarnation))
+	})
+	return d
+}
+
+func setOf(hs []balsampier.Holder) map[balsampier.Holder]struct{} {
+	m := make(map[balsampier.Holder]struct{}, len(hs))
+	for _, h := range hs {
+		m[h] = struct{}{}
+	}
+	return m
+}
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -1,22 +1,52 @@
 // Package lease keeps the leases of the members at the leader of control and
-// decides which membership changes to log.
+// decides which membership changes to log. It also holds a member's own side
+// of its lease.
 package lease
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/apply"
 )
 
+const (
+	// DefaultTerm is how long a lease lasts at control.
+	DefaultTerm = 5 * time.Second
+
+	// driftParts bounds the drift of every clock: in one true second it
+	// advances by one second plus or minus one part in driftParts.
+	driftParts = 100
+
+	// maxRecent bounds the views that digests may refer to.
+	maxRecent = 8
+)
+
 type (
-	// Table holds one lease per instance.
+	// Table holds one lease per instance. It must only be used while its
+	// owner is the confirmed leader.
 	Table struct {
 		// term is how long a lease lasts at control; members count a shorter
 		// one from the moment they sent the renewal.
 		term time.Duration
-		// held has an entry for every member of the view.
+		// held has an entry for every member of the view and for every
+		// instance that is to join it.
 		held map[balsampier.InstanceID]*lease
+		// epochs finds the newest active epoch.
+		epochs epochs
+		// recent holds the newest committed views, oldest first; never empty.
+		recent []balsampier.View
+		damper damper
+		// pending is true from a proposed change until it was committed or
+		// dropped.
+		pending bool
+		// earliest is at or before the end of every lease, so that no lease
+		// needs a look before.
+		earliest time.Time
+		// conflicts counts refused reports of instances whose name is taken.
+		conflicts uint64
 	}
 
 	lease struct {
@@ -25,60 +55,191 @@
 		expires time.Time
 		// applied is the rule revision that the member reported last.
 		applied balsampier.Revision
+		// acknowledged is the newest view epoch that the member reported.
+		acknowledged balsampier.Epoch
+		// since is when applied last changed.
+		since time.Time
 		// dirty is true until a change with this member was logged.
 		dirty bool
+		// listed is true when the committed view holds this incarnation.
+		listed bool
+		// leaving is true from the proposal of the member's removal until it
+		// was committed.
+		leaving bool
+		// restarts counts recent restarts, for damping.
+		restarts restarts
+		// conflictAt is when another instance of the same name last reported;
+		// zero when none did.
+		conflictAt time.Time
+	}
+
+	// Report is what a member says when it renews its lease.
+	Report struct {
+		// Member is the whole announcement.
+		Member balsampier.Member
+		// Applied is the rule revision that is in force at the member.
+		Applied balsampier.Revision
+		// Acknowledged is the newest view epoch that the member has taken
+		// over. It never falls within one incarnation.
+		Acknowledged balsampier.Epoch
+	}
+
+	// Grant is the answer to a report.
+	Grant struct {
+		// Term is how long the lease lasts at the member, counted from the
+		// sending of the renewal; zero when the member must not count on a
+		// lease yet.
+		Term time.Duration
+		// Epoch is the newest committed view epoch.
+		Epoch balsampier.Epoch
+		// Active is an epoch below which no member has a lease any more.
+		Active balsampier.Epoch
 	}
 
 	// Rollout tells which revision a member has in force.
 	Rollout struct {
 		Member  balsampier.Member
 		Applied balsampier.Revision
+		// Since is when the member first reported Applied; zero when it
+		// reported nothing to this leader.
+		Since time.Time
 	}
 )
 
-// New returns a table that grants every member of v a whole new term from t.
+// MemberTerm returns the term that a member counts for a lease of term d at
+// control. Counted by a clock that is as slow as allowed, it ends before d
+// does on a clock that is as fast as allowed.
+func MemberTerm(d time.Duration) time.Duration {
+	return d * (driftParts - 1) / (driftParts + 1)
+}
+
+// New returns the table of a new leader, which grants every member of v a
+// whole new term from t: leases of earlier leaders end by then.
 func New(v balsampier.View, term time.Duration, t time.Time) *Table {
-	b := &Table{term: term, held: make(map[balsampier.InstanceID]*lease)}
+	b := &Table{
+		term: term, held: make(map[balsampier.InstanceID]*lease, len(v.Members)),
+		epochs: newEpochs(v.Epoch, t.Add(term)), recent: []balsampier.View{v}, earliest: t.Add(term),
+	}
 	for _, m := range v.Members {
-		b.held[m.ID] = &lease{member: m, expires: t.Add(term)}
+		b.held[m.ID] = &lease{member: m, expires: t.Add(term), listed: true}
 	}
 	return b
 }
 
-// Renew extends the lease of m, or starts one.
+// Renew extends the lease of m, or starts one, for members that do not
+// acknowledge views.
 func (b *Table) Renew(m balsampier.Member, applied balsampier.Revision, t time.Time) {
-	l, ok := b.held[m.ID]
+	_, _ = b.Report(Report{Member: m, Applied: applied}, t)
+}
+
+// Report extends the lease of a member, or starts one. The error is of
+// KindConflict when the member's name is taken: of two incarnations the higher
+// one stays, and of two instances with equal incarnations the first one.
+// Incarnations grow, so that neither a late report nor a new leader brings a
+// replaced one back.
+func (b *Table) Report(r Report, t time.Time) (Grant, error) {
+	l, ok := b.held[r.Member.ID]
 	if !ok {
 		l = &lease{dirty: true}
-		b.held[m.ID] = l
+		b.held[r.Member.ID] = l
+		b.damper.note(t, false)
+	}
+	if l.taken(r.Member) {
+		b.conflicts++
+		l.conflictAt = t
+		return Grant{}, conflict(r.Member)
 	}
-	if l.member != m {
-		l.member, l.dirty = m, true
+	b.take(l, r, t)
+	l.expires = t.Add(b.term)
+	return b.grant(l, t), nil
+}
+
+// Leave ends the lease of a member that says it has stopped. The member must
+// not use its lease after it said so.
+func (b *Table) Leave(h balsampier.Holder, t time.Time) {
+	l, ok := b.held[h.Instance]
+	if !ok || l.member.Incarnation != h.Incarnation {
+		return
 	}
-	l.applied, l.expires = applied, t.Add(b.term)
+	b.epochs.release(h)
+	l.expires, b.earliest = t, t
+	b.damper.note(t, true)
 }
 
 // Changes returns the batch that brings the view up to date at time t; ok is
-// false when there is nothing to log.
+// false when there is nothing to log yet. After a batch there is none until
+// the call of Committed or Dropped.
 func (b *Table) Changes(t time.Time) (c apply.MembershipChange, ok bool) {
+	b.epochs.advance(t)
+	b.noteExpired(t)
+	if b.pending || !b.damper.due(t) {
+		return c, false
+	}
 	for id, l := range b.held {
 		switch {
+		case t.After(l.expires) && !found(b.newest(), id):
+			delete(b.held, id)
 		case t.After(l.expires):
 			c.Left = append(c.Left, id)
-			delete(b.held, id)
+			l.leaving, l.dirty = true, false
+		case l.dirty && !l.listed && l.restarts.held(t):
+			c.Left = append(c.Left, b.withhold(l)...)
 		case l.dirty:
 			c.Joined = append(c.Joined, l.member)
 			l.dirty = false
 		}
 	}
-	return c, len(c.Joined)+len(c.Left) > 0
+	slices.Sort(c.Left)
+	slices.SortFunc(c.Joined, func(x, y balsampier.Member) int { return cmp.Compare(x.ID, y.ID) })
+	b.pending = len(c.Joined)+len(c.Left) > 0
+	return c, b.pending
+}
+
+// Committed tells the table of each view that was committed, in order.
+func (b *Table) Committed(v balsampier.View) {
+	b.pending = false
+	b.recent = append(b.recent, v)
+	b.recent = slices.Clone(b.recent[max(0, len(b.recent)-maxRecent):])
+	b.epochs.publish(v.Epoch)
+	for id, l := range b.held {
+		m, ok := v.Find(id)
+		l.listed = ok && m.Incarnation == l.member.Incarnation
+		if l.leaving && !l.dirty {
+			delete(b.held, id)
+		}
+		l.leaving = false
+	}
 }
 
-// Rollouts lists what each member has in force.
+// Dropped tells the table that the proposed change was not and will not be
+// committed, so that its members are proposed again.
+func (b *Table) Dropped(c apply.MembershipChange, t time.Time) {
+	b.pending = false
+	for _, id := range c.Left {
+		if l, ok := b.held[id]; ok {
+			l.leaving = false
+		}
+	}
+	for _, m := range c.Joined {
+		if l, ok := b.held[m.ID]; ok {
+			l.dirty = true
+		}
+	}
+	b.damper.note(t, false)
+}
+
+// Active returns an epoch below which no member has a lease any more.
+func (b *Table) Active() balsampier.Epoch { return b.epochs.active }
+
+// Conflicts counts reports refused because two instances use one name.
+func (b *Table) Conflicts() uint64 { return b.conflicts }
+
+// Rollouts lists what each member has in force, by ID.
 func (b *Table) Rollouts() []Rollout {
 	out := make([]Rollout, 0, len(b.held))
 	for _, l := range b.held {
-		out = append(out, Rollout{Member: l.member, Applied: l.applied})
+		out = append(out, Rollout{Member: l.member, Applied: l.applied, Since: l.since})
 	}
+	slices.SortFunc(out, func(x, y Rollout) int { return cmp.Compare(x.Member.ID, y.Member.ID) })
 	return out
 }
--- /dev/null
+++ b/command/lease/lease_test.go
@@ -0,0 +1,473 @@
+package lease_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/apply"
+	"github.com/balsampier/balsampier/command/lease"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+type (
+	// clock runs at its own rate, in percent of true time.
+	clock struct {
+		rate time.Duration
+	}
+
+	// process is one run of an instance.
+	process struct {
+		clock
+		member balsampier.Member
+		own    *lease.Own
+		// dead processes do nothing any more.
+		dead bool
+		// idle processes do nothing on their own.
+		idle bool
+	}
+
+	renewal struct {
+		p       *process
+		attempt lease.Attempt
+		report  lease.Report
+	}
+
+	answer struct {
+		p       *process
+		attempt lease.Attempt
+		grant   lease.Grant
+		err     error
+	}
+
+	// world joins the pure parts by a network that delays, loses, repeats and
+	// reorders.
+	world struct {
+		clock
+		// now is the true time.
+		now      time.Duration
+		random   *rand.Rand
+		state    *apply.State
+		table    *lease.Table
+		collects []*lease.Collector
+		// attempts are the newest attempts in each collector.
+		attempts []map[balsampier.Holder]renewal
+		procs    []*process
+		renewals []renewal
+		answers  []answer
+		leaves   []balsampier.Holder
+		proposed *apply.MembershipChange
+		// active is the newest epoch that any leader announced.
+		active balsampier.Epoch
+		// newest is the newest incarnation of each instance that control
+		// heard of.
+		newest map[balsampier.InstanceID]balsampier.Incarnation
+		// leases counts checks that found a valid lease.
+		leases int
+	}
+)
+
+func TestMain(m *testing.M) {
+	for _, f := range [][2]string{{"rapid.seed", "1"}, {"rapid.steps", "150"}, {"rapid.checks", "300"}, {"rapid.nofailfile", "true"}} {
+		_ = flag.Set(f[0], f[1])
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func (c clock) at(d time.Duration) time.Time { return start.Add(d / 100 * c.rate) }
+
+func newWorld() *world {
+	w := &world{
+		clock: clock{100}, random: rand.New(rand.NewPCG(1, 2)), state: &apply.State{},
+		newest: map[balsampier.InstanceID]balsampier.Incarnation{},
+	}
+	w.table = lease.New(w.state.View, lease.DefaultTerm, w.at(w.now))
+	for range 2 {
+		w.collects = append(w.collects, lease.NewCollector())
+		w.attempts = append(w.attempts, map[balsampier.Holder]renewal{})
+	}
+	return w
+}
+
+func (w *world) spawn(name string, inc balsampier.Incarnation, rate time.Duration) {
+	p := &process{clock: clock{rate}, member: balsampier.Member{
+		ID: balsampier.NewInstanceID(name), Name: name, Role: balsampier.RoleAgent, Incarnation: inc,
+	}}
+	p.own = lease.NewOwn(p.at(w.now))
+	w.procs = append(w.procs, p)
+}
+
+func (w *world) send(p *process) {
+	if p.dead {
+		return
+	}
+	a, e := p.own.Send(p.at(w.now), w.random)
+	w.renewals = append(w.renewals, renewal{p, a, lease.Report{Member: p.member, Applied: 1, Acknowledged: e}})
+}
+
+// deliver passes a renewal to a control instance.
+func (w *world) deliver(n renewal, i int) {
+	if w.collects[i].Add(n.report) == nil {
+		w.attempts[i][n.report.Member.Holder()] = n
+	}
+}
+
+// digest passes what instance i collected to the leader; lost says that the
+// receipt never comes.
+func (w *world) digest(i int, lost bool) {
+	w.collects[i].SetView(w.state.View)
+	d, ok := w.collects[i].Digest(1)
+	if !ok {
+		return
+	}
+	for _, r := range d.Changed {
+		w.newest[r.Member.ID] = max(w.newest[r.Member.ID], r.Member.Incarnation)
+	}
+	rc, err := w.table.Digest(d, w.at(w.now))
+	if err != nil || lost {
+		w.collects[i].Failed()
+		return
+	}
+	for _, a := range w.collects[i].Confirmed(rc) {
+		n := w.attempts[i][a.Holder]
+		w.answers = append(w.answers, answer{n.p, n.attempt, a.Grant, a.Err})
+	}
+}
+
+func (w *world) respond(a answer) {
+	switch {
+	case a.p.dead:
+	case a.err != nil:
+		a.p.own.Failed(a.attempt, a.err, a.p.at(w.now), w.random)
+	default:
+		a.p.own.Granted(a.attempt, a.grant, w.random)
+	}
+}
+
+func (w *world) propose() {
+	if c, ok := w.table.Changes(w.at(w.now)); ok {
+		w.proposed = &c
+	}
+	w.active = max(w.active, w.table.Active())
+}
+
+func (w *world) commit() {
+	if w.proposed != nil {
+		w.state.ChangeMembers(*w.proposed)
+		w.proposed = nil
+		w.table.Committed(w.state.View)
+	}
+}
+
+func (w *world) elect(rate time.Duration, committed bool) {
+	if w.proposed != nil && committed {
+		w.state.ChangeMembers(*w.proposed)
+	}
+	w.proposed = nil
+	w.clock = clock{rate}
+	w.table = lease.New(w.state.View, lease.DefaultTerm, w.at(w.now))
+}
+
+// talk renews the leases of processes ps without faults.
+func (w *world) talk(ps ...*process) {
+	for i, p := range ps {
+		if w.send(p); !p.dead {
+			w.deliver(w.renewals[len(w.renewals)-1], i%2)
+		}
+	}
+	w.now += 50 * time.Millisecond
+	for i := range w.collects {
+		w.digest(i, false)
+		w.digest(i, false)
+	}
+	for _, a := range w.answers {
+		w.respond(a)
+	}
+	w.renewals, w.answers = nil, nil
+}
+
+// settle lets all busy processes talk and take over the views for a while.
+func (w *world) settle(rounds int) {
+	busy := slices.DeleteFunc(slices.Clone(w.procs), func(p *process) bool { return p.idle || p.dead })
+	for range rounds {
+		w.talk(busy...)
+		w.now += 300 * time.Millisecond
+		w.propose()
+		w.commit()
+		for _, p := range busy {
+			p.own.Acknowledge(w.state.View.Epoch)
+		}
+	}
+}
+
+// check holds every process that counts on its lease against the view and
+// the active epoch.
+func (w *world) check() error {
+	for _, p := range w.procs {
+		e, ok := p.own.Epoch(p.at(w.now))
+		if p.dead || !ok {
+			continue
+		}
+		w.leases++
+		if e < w.active {
+			return fmt.Errorf("%v has a lease in epoch %d while %d is active", p.member.Holder(), e, w.active)
+		}
+		m, ok := w.state.View.Find(p.member.ID)
+		if replaced := w.newest[p.member.ID] > p.member.Incarnation; !replaced && (!ok || m.Incarnation != p.member.Incarnation) {
+			return fmt.Errorf("%v has a lease and is not in view %d", p.member.Holder(), w.state.View.Epoch)
+		}
+	}
+	return nil
+}
+
+// TestLeases checks that no view lacks a member that has a valid lease, and
+// that no member has a valid lease in an epoch before the active one, over
+// drift, freezes, lost, late and repeated messages, restarts, two instances of
+// one name, and changes of the leader.
+func TestLeases(t *testing.T) {
+	leases, active := 0, balsampier.Epoch(0)
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld()
+		rates := rapid.SampledFrom([]time.Duration{99, 100, 101})
+		w.clock = clock{rates.Draw(r, "rate")}
+		w.table = lease.New(w.state.View, lease.DefaultTerm, w.at(w.now))
+		for _, n := range []string{"a", "b", "c"} {
+			w.spawn(n, 1, rates.Draw(r, "rate"))
+		}
+		w.settle(rapid.IntRange(0, 20).Draw(r, "rounds"))
+		r.Repeat(w.actions(rates))
+		leases += w.leases
+		active = max(active, w.active)
+	})
+	if leases == 0 || active < 3 {
+		t.Fatalf("%d leases checked, epoch %d active", leases, active)
+	}
+}
+
+func (w *world) actions(rates *rapid.Generator[time.Duration]) map[string]func(*rapid.T) {
+	any := func(r *rapid.T) *process { return rapid.SampledFrom(w.procs).Draw(r, "process") }
+	return map[string]func(*rapid.T){
+		"": func(r *rapid.T) {
+			if err := w.check(); err != nil {
+				r.Fatal(err)
+			}
+		},
+		"advance": func(r *rapid.T) {
+			w.now += time.Duration(rapid.SampledFrom([]int{10, 100, 500, 2000, 4850, 4990}).Draw(r, "ms")) * time.Millisecond
+		},
+		"send": func(r *rapid.T) { w.send(any(r)) },
+		"deliver": func(r *rapid.T) {
+			if len(w.renewals) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(w.renewals)-1).Draw(r, "renewal")
+			w.deliver(w.renewals[i], rapid.IntRange(0, 1).Draw(r, "instance"))
+			if !rapid.Bool().Draw(r, "again") {
+				w.renewals = append(w.renewals[:i:i], w.renewals[i+1:]...)
+			}
+		},
+		"digest": func(r *rapid.T) {
+			w.digest(rapid.IntRange(0, 1).Draw(r, "instance"), rapid.IntRange(0, 3).Draw(r, "lost") == 3)
+		},
+		"respond": func(r *rapid.T) {
+			if len(w.answers) > 0 {
+				i := rapid.IntRange(0, len(w.answers)-1).Draw(r, "answer")
+				w.respond(w.answers[i])
+				w.answers = append(w.answers[:i:i], w.answers[i+1:]...)
+			}
+		},
+		"propose": func(*rapid.T) { w.propose() },
+		"commit":  func(*rapid.T) { w.commit() },
+		"drop": func(*rapid.T) {
+			if w.proposed != nil {
+				w.table.Dropped(*w.proposed, w.at(w.now))
+				w.proposed = nil
+			}
+		},
+		"elect": func(r *rapid.T) { w.elect(rates.Draw(r, "rate"), rapid.Bool().Draw(r, "committed")) },
+		"acknowledge": func(r *rapid.T) {
+			any(r).own.Acknowledge(balsampier.Epoch(rapid.Uint64Range(0, uint64(w.state.View.Epoch)).Draw(r, "epoch")))
+		},
+		"settle": func(r *rapid.T) { w.settle(rapid.IntRange(1, 20).Draw(r, "rounds")) },
+		"talk":   func(r *rapid.T) { w.talk(any(r)) },
+		"idle": func(r *rapid.T) {
+			p := any(r)
+			p.idle = !p.idle
+		},
+		"restart": func(r *rapid.T) {
+			p := any(r)
+			p.dead = rapid.Bool().Draw(r, "dead")
+			inc := balsampier.Incarnation(len(w.procs) + 1)
+			w.spawn(p.member.Name, inc, rates.Draw(r, "rate"))
+		},
+		"drain": func(r *rapid.T) { any(r).member.Draining = true },
+		"leave": func(r *rapid.T) {
+			p := any(r)
+			if rapid.IntRange(0, 7).Draw(r, "leaves") > 0 {
+				return
+			}
+			p.own.Leave()
+			w.leaves = append(w.leaves, p.member.Holder())
+		},
+		"left": func(r *rapid.T) {
+			if len(w.leaves) > 0 {
+				w.table.Leave(rapid.SampledFrom(w.leaves).Draw(r, "holder"), w.at(w.now))
+			}
+		},
+	}
+}
+
+func TestSettledMembersHoldLeasesInTheActiveEpoch(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range 20 {
+		w.spawn(fmt.Sprint(i), 1, 100)
+	}
+	w.settle(20)
+	w.elect(100, true)
+	w.settle(20)
+	c.Assert(w.state.View.Epoch, qt.Equals, balsampier.Epoch(1), qt.Commentf("a new leader changes nothing"))
+	c.Assert(w.table.Active(), qt.Equals, balsampier.Epoch(1))
+	for _, p := range w.procs {
+		c.Assert(p.own.Standing(p.at(w.now)), qt.Equals, lease.StandingHeld)
+	}
+}
+
+// TestMemberTerm checks the terms over all rates that the drift bound allows.
+func TestMemberTerm(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		d := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(time.Hour)).Draw(r, "term"))
+		slow, fast := rapid.Int64Range(99, 101).Draw(r, "member"), rapid.Int64Range(99, 101).Draw(r, "control")
+		m, k := int64(lease.MemberTerm(d))*fast, int64(d)*slow
+		if m > k || m < k*9/10 {
+			r.Fatalf("term %v lasts %d at the member and %d at control", d, m, k)
+		}
+	})
+}
+
+func TestNames(t *testing.T) {
+	a, b := netip.MustParseAddrPort("192.0.2.1:1"), netip.MustParseAddrPort("192.0.2.2:1")
+	tests := []struct {
+		name          string
+		first, second balsampier.Member
+		kinds         []balsampier.Kind
+	}{
+		{"restart", balsampier.Member{ID: 1, Incarnation: 1, Addr: a}, balsampier.Member{ID: 1, Incarnation: 2, Addr: b}, []balsampier.Kind{0, 0, balsampier.KindConflict, 0}},
+		{"late report", balsampier.Member{ID: 1, Incarnation: 2, Addr: a}, balsampier.Member{ID: 1, Incarnation: 1, Addr: a}, []balsampier.Kind{0, balsampier.KindConflict, 0, balsampier.KindConflict}},
+		{"equal incarnations", balsampier.Member{ID: 1, Incarnation: 1, Addr: a}, balsampier.Member{ID: 1, Incarnation: 1, Addr: b}, []balsampier.Kind{0, balsampier.KindConflict, 0, balsampier.KindConflict}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := lease.New(balsampier.View{}, lease.DefaultTerm, start)
+			for i, k := range tt.kinds {
+				m := []balsampier.Member{tt.first, tt.second}[i%2]
+				_, err := l.Report(lease.Report{Member: m}, start)
+				c.Check(balsampier.KindOf(err), qt.Equals, k, qt.Commentf("report %d", i))
+			}
+		})
+	}
+}
+
+// TestBatches checks how many changes a table logs, and how soon.
+func TestBatches(t *testing.T) {
+	const n = 1300
+	renewed := func(i int) time.Duration { return lease.RenewInterval * time.Duration(i) / n }
+	tests := []struct {
+		name string
+		// act runs every 10 ms on a table of n members.
+		act func(b *lease.Table, d time.Duration)
+		// changes and members bound the batches and their members.
+		changes, members int
+		within           time.Duration
+	}{
+		{"a data centre lost", func(*lease.Table, time.Duration) {}, 2, n, 9 * time.Second},
+		{"one drains", func(b *lease.Table, d time.Duration) {
+			for i := range n {
+				b.Renew(balsampier.Member{ID: balsampier.InstanceID(i + 1), Incarnation: 1, Draining: i == 7}, 0, start.Add(d))
+			}
+		}, 1, 1, 200 * time.Millisecond},
+		{"one stops", func(b *lease.Table, d time.Duration) {
+			if d == 0 {
+				b.Leave(balsampier.Holder{Instance: 8, Incarnation: 1}, start)
+			}
+			for i := range n {
+				if i != 7 {
+					b.Renew(balsampier.Member{ID: balsampier.InstanceID(i + 1), Incarnation: 1}, 0, start.Add(d))
+				}
+			}
+		}, 1, 1, 200 * time.Millisecond},
+		{"one restarts all the time", func(b *lease.Table, d time.Duration) {
+			for i := range n {
+				m := balsampier.Member{ID: balsampier.InstanceID(i + 1), Incarnation: 1}
+				if i == 7 {
+					m.Incarnation += balsampier.Incarnation(d / time.Second)
+				}
+				b.Renew(m, 0, start.Add(d))
+			}
+		}, 4, 4, 5 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &apply.State{}
+			var all apply.MembershipChange
+			for i := range n {
+				all.Joined = append(all.Joined, balsampier.Member{ID: balsampier.InstanceID(i + 1), Incarnation: 1})
+			}
+			s.ChangeMembers(all)
+			b := lease.New(s.View, lease.DefaultTerm, start.Add(-lease.DefaultTerm))
+			for i, m := range all.Joined {
+				b.Renew(m, 0, start.Add(renewed(i)-lease.RenewInterval))
+			}
+			changes, members, last := 0, 0, time.Duration(0)
+			for d := time.Duration(0); d < 10*time.Second; d += 10 * time.Millisecond {
+				tt.act(b, d)
+				if k, ok := b.Changes(start.Add(d)); ok {
+					changes, members, last = changes+1, members+len(k.Joined)+len(k.Left), d
+					s.ChangeMembers(k)
+					b.Committed(s.View)
+				}
+			}
+			c.Check(changes <= tt.changes && changes > 0, qt.IsTrue, qt.Commentf("%d changes", changes))
+			c.Check(members, qt.Equals, tt.members)
+			c.Check(last <= tt.within, qt.IsTrue, qt.Commentf("last change after %v", last))
+		})
+	}
+}
+
+// TestLaggardAfterElection has a member sleep while an epoch becomes active,
+// and come back to a new leader, which does not know that.
+func TestLaggardAfterElection(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.spawn("a", 1, 100)
+	w.spawn("b", 1, 100)
+	w.settle(20)
+	sleeper := w.procs[1]
+	sleeper.idle = true
+	w.spawn("c", 1, 100)
+	w.settle(30)
+	c.Assert(w.active, qt.Equals, w.state.View.Epoch)
+	w.elect(100, true)
+	for range 4 {
+		w.talk(sleeper)
+		w.settle(1)
+		c.Assert(w.check(), qt.IsNil)
+		c.Assert(sleeper.own.Standing(sleeper.at(w.now)), qt.Equals, lease.StandingLapsed)
+	}
+	sleeper.idle = false
+	w.settle(3)
+	c.Assert(sleeper.own.Standing(sleeper.at(w.now)), qt.Equals, lease.StandingHeld)
+}
