feat: replicate control over three instances

Cause: one control instance loses its disk and with it every accepted rule. Change: control runs the replicated log with threads around it: replicate, save to disk, apply, keep leases, pass digests, one sender per peer. A watch begins with a state that a quorum confirmed; digests of renewals are answered only after a quorum confirmed the leadership later than they came. The demo kills the leader, removes its disk and lets it rejoin as a learner.

--- a/balsampier.go
+++ b/balsampier.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,6 +22,11 @@
 	RoleControl
 )
 
+// incarnationStep makes incarnations last for 34 years.
+const incarnationStep = 250 * time.Millisecond
+
+var firstIncarnation = time.Date(2025, time.January, 1, 0, 0, 0, 0, time.UTC)
+
 type (
 	// InstanceID identifies an instance. It is derived from the configured
 	// name, so that it survives restarts.
@@ -86,6 +92,12 @@
 	return InstanceID(xxhash.Sum64String(n))
 }
 
+// NewIncarnation returns the incarnation of a process that starts at time t. A
+// later start has a higher one, as long as starts are incarnationStep apart.
+func NewIncarnation(t time.Time) Incarnation {
+	return Incarnation(t.Sub(firstIncarnation)/incarnationStep) + 1
+}
+
 // String returns the name of the role as it stands in dumps.
 func (r Role) String() string {
 	switch r {
--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -136,7 +136,7 @@
 		counters:  newCounters(),
 		self: balsampier.Member{
 			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleAgent,
-			Incarnation: balsampier.Incarnation(r.Uint64() | 1), DataCentre: s.DataCentre,
+			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre,
 			Addr: s.PeerAddr, PeerAddr: s.PeerAddr,
 		},
 	}
--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -108,7 +108,7 @@
 		answers:   ring.New[[]byte]("answers", s.RingDepth, ring.DropNewest),
 		member: balsampier.Member{
 			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleBalancer,
-			Incarnation: balsampier.Incarnation(r.Uint64() | 1), DataCentre: s.DataCentre, Addr: s.PeerAddr,
+			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre, Addr: s.PeerAddr,
 		},
 	}
 	b.counters = newCounters()
--- a/cmd/balsampier/cmd/root.go
+++ b/cmd/balsampier/cmd/root.go
@@ -2,6 +2,8 @@
 package cmd
 
 import (
+	"os"
+
 	"github.com/spf13/cobra"
 
 	"github.com/balsampier/balsampier/operator"
@@ -26,6 +28,7 @@
 
 Exit codes: 0 done, 1 failed at run time or lost a race, 2 wrong input.`,
 	}
+	root.SetOut(os.Stdout)
 	root.PersistentFlags().StringSliceVar(&f.control, "control", []string{"http://127.0.0.1:7100"}, "operator `URLs` of the control instances")
 	root.PersistentFlags().StringVar(&f.keyFile, "key-file", "operator.key", "`file` with the operators' key")
 	root.AddCommand(newCheck(), newSubmit(&f), newRules(&f), newStatus(&f), newDump(&f), newCert(), newKey())
--- a/cmd/bench/relay/relay.go
+++ b/cmd/bench/relay/relay.go
@@ -190,7 +190,7 @@
 }
 
 // Renew implements balsampier.ControlClient.
-func (l client) Renew(context.Context, balsampier.Member, balsampier.Revision) (balsampier.Lease, error) {
+func (l client) Renew(context.Context, balsampier.Renewal) (balsampier.Lease, error) {
 	return balsampier.Lease{Term: time.Minute, Epoch: l.v.Epoch}, nil
 }
 
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -13,19 +13,21 @@
 	"github.com/balsampier/balsampier/clock"
 	"github.com/balsampier/balsampier/command/apply"
 	"github.com/balsampier/balsampier/command/lease"
+	"github.com/balsampier/balsampier/command/replicate"
 	"github.com/balsampier/balsampier/disk"
 	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/operator"
 	"github.com/balsampier/balsampier/peer"
 	"github.com/balsampier/balsampier/process"
+	"github.com/balsampier/balsampier/random"
 	"github.com/balsampier/balsampier/ring"
 	"github.com/balsampier/balsampier/settings"
 )
 
 const (
-	batchSize    = 64
+	batchSize    = 256
 	drainTimeout = 5 * time.Second
-	logName      = "log"
+	peerDepth    = 512
 )
 
 type (
@@ -34,36 +36,44 @@
 		s     Settings
 		log   *log.Logger
 		clock balsampier.Clock
-		disk  *disk.Log
-
-		// commands, records and committed join the threads in this order.
-		commands  *ring.Ring[command]
-		records   *ring.Ring[record]
-		committed *ring.Ring[record]
-
-		// leases is owned by the command thread.
-		leases *lease.Table
-		// state is owned by the apply thread.
-		state     apply.State
+		self  balsampier.InstanceID
+
+		// inputs lead to the replicate thread, work from it to the save
+		// thread, committed from it to the apply thread.
+		inputs    *ring.Ring[input]
+		work      *ring.Ring[balsampier.LogWork]
+		committed *ring.Ring[committed]
+		// commands lead to the lease thread, digests from it to the thread
+		// that passes them to the leader.
+		commands *ring.Ring[command]
+		digests  *ring.Ring[lease.Digest]
+		// peers has an entry for every other control instance.
+		peers map[balsampier.InstanceID]*peerLink
+
+		store     balsampier.LogStore
+		replica   replica
+		members   membership
+		state     state
+		status    atomic.Pointer[replicate.Status]
 		published atomic.Pointer[published]
 	}
 
+	// peerLink leads to one other control instance.
+	peerLink struct {
+		name   string
+		caller *peer.Caller
+		out    *ring.Ring[replicate.Message]
+	}
+
 	// published is an immutable state for queries.
 	published struct {
 		rules balsampier.RuleFile
 		view  balsampier.View
+		// applied is the index of the last entry in the state.
+		applied balsampier.Index
 		// changed is closed when a newer state is published.
 		changed chan struct{}
 	}
-
-	// record is one log entry on its way.
-	record struct {
-		b          []byte
-		submission *balsampier.Submission
-		membership *apply.MembershipChange
-		// answer takes the answer to a submission; it has room for it.
-		answer chan balsampier.SubmissionAnswer
-	}
 )
 
 // Run runs a control instance until it is stopped.
@@ -84,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	t, err := New(s, clock.System{})
+	t, err := New(s, clock.System{}, random.System{}, peer.NewKey(key))
 	if err != nil {
 		return err
 	}
@@ -92,109 +102,103 @@
 	if err := ps.AddControl(peer.NewKey(key), t); err != nil {
 		return err
 	}
+	if err := ps.AddReplica(peer.NewKey(key), t); err != nil {
+		return err
+	}
 	os := operator.NewServer(o, opKey, t.Dump, t.Ready)
 	os.AddRules(t, t)
 	return process.Run(process.Program{
-		Name: "control", Servers: append(t.Threads(), ps, os), DrainTimeout: drainTimeout, Logger: t.log,
+		Name: "control", Servers: append(t.Threads(), ps, os), Drain: t.Drain, DrainTimeout: drainTimeout, Logger: t.log,
 	})
 }
 
-// New opens the data folder and restores the state.
-func New(s Settings, k balsampier.Clock) (*Control, error) {
+// New opens the data folder and restores what lasts in it.
+func New(s Settings, k balsampier.Clock, r balsampier.Random, key peer.Key) (*Control, error) {
 	t := &Control{
-		s: s, clock: k, log: process.NewLogger("control", s.Name, s.Level()),
+		s: s, clock: k, self: balsampier.NewInstanceID(s.Name),
+		log:       process.NewLogger("control", s.Name, s.Level()),
+		inputs:    ring.New[input]("inputs", s.RingDepth, ring.Reject),
+		work:      ring.New[balsampier.LogWork]("work", 1, ring.Block),
+		committed: ring.New[committed]("committed", s.RingDepth, ring.Block),
 		commands:  ring.New[command]("commands", s.RingDepth, ring.Reject),
-		records:   ring.New[record]("records", s.RingDepth, ring.Block),
-		committed: ring.New[record]("committed", s.RingDepth, ring.Block),
+		digests:   ring.New[lease.Digest]("digests", 1, ring.Block),
+		peers:     make(map[balsampier.InstanceID]*peerLink),
+		members:   newMembership(),
+		state:     state{s: new(apply.State)},
 	}
-	ring.Register(t.commands)
-	ring.Register(t.records)
-	ring.Register(t.committed)
-	d, rs, err := disk.Open(s.DataFolder, logName)
+	t.published.Store(&published{changed: make(chan struct{})})
+	g := replicate.Config{Instance: t.self, Election: s.ElectionTimeout, Random: r}
+	for _, v := range s.Instances {
+		id := balsampier.NewInstanceID(v.Name)
+		g.Peers = append(g.Peers, id)
+		if id != t.self {
+			t.peers[id] = &peerLink{
+				name: v.Name, caller: peer.NewCaller(key, v.PeerAddr),
+				out: ring.New[replicate.Message]("to "+v.Name, peerDepth, ring.DropNewest),
+			}
+			ring.Register(t.peers[id].out)
+		}
+	}
+	store, stored, err := disk.OpenStore(s.DataFolder, r)
 	if err != nil {
 		return nil, err
 	}
-	t.disk = d
-	for _, b := range rs {
-		r := record{b: b}
-		if r.submission, r.membership, err = peer.DecodeEntry(b); err != nil {
-			return nil, err
-		}
-		t.apply(r)
+	t.store = store
+	n, err := replicate.New(g, stored, k.Now())
+	if err != nil {
+		return nil, err
 	}
-	t.published.Store(&published{changed: make(chan struct{})})
-	t.publish()
-	t.leases = lease.New(t.state.View, s.LeaseTerm, k.Now())
-	t.log.Info().Int("records", len(rs)).Uint64("revision", uint64(t.state.Rules.Revision)).Msg("restored")
+	t.replica = newReplica(n)
+	st := n.Status()
+	t.status.Store(&st)
+	ring.Register(t.inputs)
+	ring.Register(t.work)
+	ring.Register(t.committed)
+	ring.Register(t.commands)
+	ring.Register(t.digests)
+	t.log.Info().Uint64("snapshot", uint64(st.Snapshot)).Uint64("last", uint64(st.Last)).Msg("restored")
 	return t, nil
 }
 
 // Threads returns the threads of the instance.
 func (t *Control) Threads() []transport.Server {
-	return []transport.Server{
-		duty.New("take commands", t.takeCommands),
-		duty.New("append to disk", t.appendRecords),
-		duty.New("apply", t.applyCommitted),
+	ts := []transport.Server{
+		duty.New("replicate", t.replicate),
+		duty.New("save to disk", t.save),
+		duty.New("apply", t.apply),
+		duty.New("keep leases", t.keepLeases),
+		duty.New("pass digests", t.passDigests),
 	}
-}
-
-// Ready returns an error while members must not come.
-func (t *Control) Ready() error { return nil }
-
-func (t *Control) appendRecords(c context.Context) error {
-	var rs [batchSize]record
-	bs := make([][]byte, 0, batchSize)
-	for {
-		n, err := t.records.Pop(c, rs[:])
-		if err != nil {
-			return err
-		}
-		bs = bs[:0]
-		for _, r := range rs[:n] {
-			bs = append(bs, r.b)
-		}
-		if err := t.disk.Append(bs...); err != nil {
-			return err
-		}
-		if err := t.disk.Sync(); err != nil {
-			return err
-		}
-		for _, r := range rs[:n] {
-			if err := t.committed.Push(c, r); err != nil {
-				return err
-			}
-		}
+	for _, p := range t.peers {
+		ts = append(ts, duty.New("send to "+p.name, t.sendTo(p)))
 	}
+	return ts
 }
 
-func (t *Control) applyCommitted(c context.Context) error {
-	var rs [batchSize]record
-	for {
-		n, err := t.committed.Pop(c, rs[:])
-		if err != nil {
-			return err
-		}
-		for _, r := range rs[:n] {
-			t.apply(r)
-		}
-		t.publish()
+// Ready returns an error until the instance follows a leader.
+func (t *Control) Ready() error {
+	if s := t.status.Load(); s.Leader.IsZero() {
+		return balsampier.NewError(balsampier.KindUnavailable, "check readiness",
+			"wait until a majority of the control instances runs", nil)
 	}
+	return nil
 }
 
-// apply folds one record into the state and answers its submission.
-func (t *Control) apply(r record) {
-	if r.membership != nil {
-		t.state.ChangeMembers(*r.membership)
-		return
+// Drain hands the leadership over.
+func (t *Control) Drain(c context.Context) error {
+	if t.status.Load().Role != replicate.RoleLeader {
+		return nil
 	}
-	a := t.state.Submit(*r.submission)
-	if r.answer != nil {
-		r.answer <- a
+	if err := t.inputs.Push(c, input{kind: inputTransfer}); err != nil {
+		return err
 	}
-}
-
-func (t *Control) publish() {
-	old := t.published.Load()
-	t.published.Store(&published{rules: t.state.Rules, view: t.state.View, changed: make(chan struct{})})
-	close(old.changed)
+	for t.status.Load().Role == replicate.RoleLeader {
+		k := t.clock.NewTimer(tickPeriod)
+		select {
+		case <-k.C():
+		case <-c.Done():
+			return c.Err()
+		}
+	}
+	return nil
 }
--- /dev/null
+++ b/cmd/control/app/apply.go
@@ -0,0 +1,154 @@
+package app
+
+import (
+	"context"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/apply"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/ring"
+)
+
+type (
+	// committed is one message to the apply thread.
+	committed struct {
+		// restore replaces the state; nil for entries.
+		restore *balsampier.Snapshot
+		entry   balsampier.Entry
+		// outcome takes the fate of the entry; nil when nobody waits.
+		outcome chan outcome
+		// snapshot asks for a snapshot behind the entry.
+		snapshot bool
+	}
+
+	// state is owned by the apply thread.
+	state struct {
+		s       *apply.State
+		applied balsampier.Index
+	}
+)
+
+// apply folds committed entries into the state and publishes it.
+func (t *Control) apply(c context.Context) error {
+	var ms [batchSize]committed
+	for {
+		n, err := t.committed.Pop(c, ms[:])
+		if err != nil {
+			return err
+		}
+		for i := range ms[:n] {
+			if err := t.applyOne(c, ms[i]); err != nil {
+				return err
+			}
+			ms[i] = committed{}
+		}
+		t.publish()
+	}
+}
+
+func (t *Control) applyOne(c context.Context, m committed) error {
+	if m.restore != nil {
+		return t.restore(*m.restore)
+	}
+	o, err := t.applyEntry(m.entry)
+	if err != nil {
+		return err
+	}
+	t.state.applied = m.entry.Index
+	if m.outcome != nil {
+		// Whoever is answered sees the state that the answer speaks of.
+		t.publish()
+		m.outcome <- o
+	}
+	if !m.snapshot {
+		return nil
+	}
+	b, err := peer.EncodeSnapshot(t.state.s.Snapshot())
+	if err != nil {
+		return err
+	}
+	// A full ring drops the snapshot; the log asks for it again.
+	return t.inputs.PushWith(c, input{kind: inputCompact, index: m.entry.Index, data: b}, ring.DropNewest)
+}
+
+func (t *Control) applyEntry(e balsampier.Entry) (outcome, error) {
+	if e.Kind != balsampier.EntryCommand {
+		return outcome{}, nil
+	}
+	s, m, err := peer.DecodeEntry(e.Data)
+	if err != nil {
+		return outcome{}, err
+	}
+	if m != nil {
+		t.state.s.ChangeMembers(*m)
+		return outcome{}, nil
+	}
+	return outcome{answer: t.state.s.Submit(*s)}, nil
+}
+
+func (t *Control) restore(s balsampier.Snapshot) error {
+	t.state.applied = s.Index
+	if len(s.Data) == 0 {
+		return nil
+	}
+	p, err := peer.DecodeSnapshot(s.Data)
+	if err != nil {
+		return err
+	}
+	t.state.s, err = apply.Restore(p)
+	return err
+}
+
+func (t *Control) publish() {
+	old := t.published.Load()
+	if old.applied == t.state.applied {
+		return
+	}
+	t.published.Store(&published{
+		rules: t.state.s.Rules, view: t.state.s.View, applied: t.state.applied, changed: make(chan struct{}),
+	})
+	close(old.changed)
+}
+
+// waitApplied waits until the entry at i is applied.
+func (t *Control) waitApplied(c context.Context, i balsampier.Index) (*published, error) {
+	for {
+		p := t.published.Load()
+		if p.applied >= i {
+			return p, nil
+		}
+		select {
+		case <-p.changed:
+		case <-c.Done():
+			return nil, c.Err()
+		}
+	}
+}
+
+// confirmed returns a state that covers all that was committed before the
+// call.
+func (t *Control) confirmed(c context.Context) (*published, error) {
+	i, err := t.readIndex(c)
+	if err != nil {
+		return nil, err
+	}
+	return t.waitApplied(c, i)
+}
+
+// readIndex asks the leader, which may be this instance.
+func (t *Control) readIndex(c context.Context) (balsampier.Index, error) {
+	l := t.status.Load().Leader.Instance
+	if l == t.self {
+		return t.readLocal(c)
+	}
+	p, ok := t.peers[l]
+	if !ok {
+		return 0, errNoLeader()
+	}
+	return p.caller.ReadIndex(c)
+}
+
+func errNoLeader() error {
+	return balsampier.NewError(balsampier.KindUnavailable, "find the leader",
+		"try another control instance; check that a majority of them runs", nil)
+}
--- /dev/null
+++ b/cmd/control/app/replicate.go
@@ -0,0 +1,289 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/ring"
+)
+
+const (
+	// tickPeriod is how often the time of the replicated log moves on.
+	tickPeriod = 20 * time.Millisecond
+	// stepTimeout bounds one call to another control instance.
+	stepTimeout = time.Second
+	// maxStepMessages bounds the messages in one call.
+	maxStepMessages = 64
+)
+
+const (
+	inputMessage inputKind = iota
+	inputProposal
+	inputRead
+	inputDiskDone
+	inputCompact
+	inputTransfer
+)
+
+type (
+	inputKind uint8
+
+	// input is one message to the replicate thread.
+	input struct {
+		kind    inputKind
+		message replicate.Message
+		data    []byte
+		// outcome takes the fate of a proposal; it has room for it.
+		outcome chan outcome
+		// read takes the answer to a read; it has room for it.
+		read chan readAnswer
+		// seq is the disk work that is done.
+		seq uint64
+		// index is that of data in inputCompact.
+		index balsampier.Index
+	}
+
+	// outcome is the fate of a proposal.
+	outcome struct {
+		answer balsampier.SubmissionAnswer
+		err    error
+	}
+
+	readAnswer struct {
+		index balsampier.Index
+		err   error
+	}
+
+	// proposal is an entry whose fate someone waits for.
+	proposal struct {
+		term    balsampier.Term
+		outcome chan outcome
+	}
+
+	// replica is owned by the replicate thread.
+	replica struct {
+		n *replicate.Node
+		// proposals are those that this instance made and that are neither
+		// committed nor lost, by index.
+		proposals map[balsampier.Index]proposal
+		// reads are waiting for a quorum.
+		reads     map[replicate.ReadToken]chan readAnswer
+		nextToken replicate.ReadToken
+	}
+)
+
+func newReplica(n *replicate.Node) replica {
+	return replica{
+		n: n, proposals: make(map[balsampier.Index]proposal),
+		reads: make(map[replicate.ReadToken]chan readAnswer),
+	}
+}
+
+// replicate owns the replicated log.
+func (t *Control) replicate(c context.Context) error {
+	var is [batchSize]input
+	for {
+		if err := t.handOn(c); err != nil {
+			return err
+		}
+		k := t.clock.NewTimer(tickPeriod)
+		n, err := t.inputs.PopUntil(c, is[:], k.C())
+		k.Stop()
+		if err != nil {
+			return err
+		}
+		t.replica.n.Tick(t.clock.Now())
+		for i := range is[:n] {
+			t.take(is[i])
+			is[i] = input{}
+		}
+	}
+}
+
+func (t *Control) take(i input) {
+	r := &t.replica
+	switch i.kind {
+	case inputMessage:
+		r.n.Step(i.message)
+	case inputProposal:
+		x, term, err := r.n.Propose(i.data)
+		if err != nil {
+			i.outcome <- outcome{err: err}
+			return
+		}
+		r.proposals[x] = proposal{term: term, outcome: i.outcome}
+	case inputRead:
+		r.nextToken++
+		if err := r.n.Read(r.nextToken); err != nil {
+			i.read <- readAnswer{err: err}
+			return
+		}
+		r.reads[r.nextToken] = i.read
+	case inputDiskDone:
+		r.n.DiskDone(i.seq)
+	case inputCompact:
+		r.n.Compact(i.index, i.data)
+	case inputTransfer:
+		if err := r.n.Transfer(); err != nil {
+			t.log.Warn().Err(err).Msg("leadership not handed over")
+		}
+	}
+}
+
+// handOn distributes what the log wants done.
+func (t *Control) handOn(c context.Context) error {
+	o := t.replica.n.Take()
+	for _, m := range o.Messages {
+		if p, ok := t.peers[m.To.Instance]; ok {
+			_ = p.out.Push(c, m)
+		}
+	}
+	if o.Work != nil {
+		if err := t.work.Push(c, *o.Work); err != nil {
+			return err
+		}
+	}
+	t.answerReads(o.Reads)
+	if o.Restore != nil {
+		t.loseProposals(o.Restore.Index)
+		if err := t.committed.Push(c, committed{restore: o.Restore}); err != nil {
+			return err
+		}
+	}
+	for i, e := range o.Committed {
+		m := committed{entry: e, outcome: t.waiterOf(e), snapshot: o.WantSnapshot && i == len(o.Committed)-1}
+		if err := t.committed.Push(c, m); err != nil {
+			return err
+		}
+	}
+	t.publishStatus()
+	return nil
+}
+
+// waiterOf returns who waits for the entry, and tells who lost its index.
+func (t *Control) waiterOf(e balsampier.Entry) chan outcome {
+	p, ok := t.replica.proposals[e.Index]
+	if !ok {
+		return nil
+	}
+	delete(t.replica.proposals, e.Index)
+	if p.term == e.Term {
+		return p.outcome
+	}
+	p.outcome <- outcome{err: errLost()}
+	return nil
+}
+
+// loseProposals answers those that a snapshot took the place of.
+func (t *Control) loseProposals(i balsampier.Index) {
+	for x, p := range t.replica.proposals {
+		if x <= i {
+			p.outcome <- outcome{err: balsampier.NewError(balsampier.KindUnknown, "propose", "ask again with the same ID", nil)}
+			delete(t.replica.proposals, x)
+		}
+	}
+}
+
+func (t *Control) answerReads(as []replicate.ReadAnswer) {
+	for _, a := range as {
+		if c, ok := t.replica.reads[a.Token]; ok {
+			delete(t.replica.reads, a.Token)
+			if a.Refused {
+				c <- readAnswer{err: errNotLeader()}
+				continue
+			}
+			c <- readAnswer{index: a.Index}
+		}
+	}
+}
+
+func (t *Control) publishStatus() {
+	s, old := t.replica.n.Status(), t.status.Load()
+	if s.Role != old.Role || s.Term != old.Term || s.Leader != old.Leader {
+		t.log.Info().Uint64("term", uint64(s.Term)).Str("role", s.Role.String()).Str("leader", t.nameOf(s.Leader.Instance)).Msg("replica")
+	}
+	t.status.Store(&s)
+}
+
+func (t *Control) nameOf(i balsampier.InstanceID) string {
+	if i == t.self {
+		return t.s.Name
+	}
+	if p, ok := t.peers[i]; ok {
+		return p.name
+	}
+	return ""
+}
+
+// save makes work durable, one after the other.
+func (t *Control) save(c context.Context) error {
+	var ws [1]balsampier.LogWork
+	for {
+		if _, err := t.work.Pop(c, ws[:]); err != nil {
+			return err
+		}
+		if err := t.store.Save(ws[0]); err != nil {
+			return err
+		}
+		if err := t.inputs.PushWith(c, input{kind: inputDiskDone, seq: ws[0].Seq}, ring.Block); err != nil {
+			return err
+		}
+	}
+}
+
+// sendTo hands messages to one other control instance.
+func (t *Control) sendTo(p *peerLink) func(context.Context) error {
+	return func(c context.Context) error {
+		var ms [maxStepMessages]replicate.Message
+		for {
+			n, err := p.out.Pop(c, ms[:])
+			if err != nil {
+				return err
+			}
+			x, cancel := context.WithTimeout(c, stepTimeout)
+			if err := p.caller.Step(x, ms[:n]); err != nil && c.Err() == nil {
+				t.log.Debug().Err(err).Str("to", p.name).Msg("messages lost")
+			}
+			cancel()
+		}
+	}
+}
+
+// propose orders an entry and waits for its fate.
+func (t *Control) propose(c context.Context, data []byte) (balsampier.SubmissionAnswer, error) {
+	i := input{kind: inputProposal, data: data, outcome: make(chan outcome, 1)}
+	if err := t.inputs.Push(c, i); err != nil {
+		return balsampier.SubmissionAnswer{}, err
+	}
+	select {
+	case o := <-i.outcome:
+		return o.answer, o.err
+	case <-c.Done():
+		return balsampier.SubmissionAnswer{}, balsampier.NewError(balsampier.KindUnknown, "propose", "ask again with the same ID", c.Err())
+	}
+}
+
+// readLocal returns an index that covers all that was committed before the
+// call, if this instance leads.
+func (t *Control) readLocal(c context.Context) (balsampier.Index, error) {
+	i := input{kind: inputRead, read: make(chan readAnswer, 1)}
+	if err := t.inputs.Push(c, i); err != nil {
+		return 0, err
+	}
+	select {
+	case a := <-i.read:
+		return a.index, a.err
+	case <-c.Done():
+		return 0, c.Err()
+	}
+}
+
+func errNotLeader() error {
+	return balsampier.NewError(balsampier.KindNotLeader, "lead", "ask another control instance", nil)
+}
+
+func errLost() error {
+	return balsampier.NewError(balsampier.KindNotLeader, "propose", "ask again with the same ID", nil)
+}
--- a/cmd/control/app/settings.go
+++ b/cmd/control/app/settings.go
@@ -1,30 +1,47 @@
 package app
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
+	"github.com/balsampier/balsampier/command/lease"
 	"github.com/balsampier/balsampier/settings"
 )
 
 const (
-	defaultRingDepth = 4096
-	defaultLeaseTerm = 3 * time.Second
-	minLeaseTerm     = time.Second
+	defaultRingDepth       = 8192
+	defaultElectionTimeout = time.Second
+	minLeaseTerm           = time.Second
+	minElectionTimeout     = 100 * time.Millisecond
+	maxInstances           = 9
 )
 
-// Settings are the settings of a control instance.
-type Settings struct {
-	settings.Common `yaml:",inline"`
-	// PeerAddr takes the calls of members over TCP.
-	PeerAddr netip.AddrPort `yaml:"peerAddress"`
-	// DataFolder holds all files of the instance.
-	DataFolder string `yaml:"dataFolder"`
-	// LeaseTerm is how long a member stays in the view without a renewal.
-	LeaseTerm time.Duration `yaml:"leaseTerm"`
-	// RingDepth is the capacity of each ring.
-	RingDepth int `yaml:"ringDepth"`
-}
+type (
+	// Settings are the settings of a control instance.
+	Settings struct {
+		settings.Common `yaml:",inline"`
+		// PeerAddr takes the calls of members and of other control instances.
+		PeerAddr netip.AddrPort `yaml:"peerAddress"`
+		// DataFolder holds all files of the instance.
+		DataFolder string `yaml:"dataFolder"`
+		// Instances are all control instances, this one among them; the same
+		// everywhere.
+		Instances []Instance `yaml:"instances"`
+		// LeaseTerm is how long a member stays in the view without a renewal.
+		LeaseTerm time.Duration `yaml:"leaseTerm"`
+		// ElectionTimeout is how long a leader may be silent.
+		ElectionTimeout time.Duration `yaml:"electionTimeout"`
+		// RingDepth is the capacity of each ring.
+		RingDepth int `yaml:"ringDepth"`
+	}
+
+	// Instance is one control instance.
+	Instance struct {
+		Name     string         `yaml:"name"`
+		PeerAddr netip.AddrPort `yaml:"peerAddress"`
+	}
+)
 
 // SetDefaults fills what was left out.
 func (s *Settings) SetDefaults() {
@@ -33,7 +50,10 @@
 		s.RingDepth = defaultRingDepth
 	}
 	if s.LeaseTerm == 0 {
-		s.LeaseTerm = defaultLeaseTerm
+		s.LeaseTerm = lease.DefaultTerm
+	}
+	if s.ElectionTimeout == 0 {
+		s.ElectionTimeout = defaultElectionTimeout
 	}
 }
 
@@ -46,4 +66,27 @@
 	if s.LeaseTerm < minLeaseTerm {
 		f.Add("leaseTerm", s.LeaseTerm.String(), "write at least "+minLeaseTerm.String())
 	}
+	if s.ElectionTimeout < minElectionTimeout {
+		f.Add("electionTimeout", s.ElectionTimeout.String(), "write at least "+minElectionTimeout.String())
+	}
+	s.checkInstances(f)
+}
+
+func (s *Settings) checkInstances(f *settings.Faults) {
+	if len(s.Instances) > maxInstances {
+		f.Add("instances", fmt.Sprint(len(s.Instances)), fmt.Sprintf("list at most %d", maxInstances))
+	}
+	seen := make(map[string]bool)
+	for i, v := range s.Instances {
+		k := fmt.Sprintf("instances[%d]", i)
+		f.Required(k+".name", v.Name)
+		f.Addr(k+".peerAddress", v.PeerAddr)
+		if seen[v.Name] {
+			f.Add(k+".name", v.Name, "list each instance once")
+		}
+		seen[v.Name] = true
+	}
+	if !seen[s.Name] {
+		f.Add("instances", s.Name, "list this instance too, and the same instances everywhere")
+	}
 }
--- a/control/session.go
+++ b/control/session.go
@@ -116,7 +116,8 @@
 		return
 	}
 	sent := s.o.Clock.Now()
-	l, err := s.o.Client.Renew(c, m, s.State().Rules.Revision)
+	n := s.State()
+	l, err := s.o.Client.Renew(c, balsampier.Renewal{Member: m, Applied: n.Rules.Revision, Acknowledged: n.View.Epoch})
 	if err != nil {
 		if c.Err() == nil {
 			s.o.Logger.Warn().Err(err).Msg("lease not renewed")
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -4,13 +4,14 @@
 # shellcheck source=demo/lib.sh
 . "$(dirname "$0")/lib.sh"
 trap 'stop_all' EXIT
-control_peers='["127.0.3.1:7000"]'
-control_urls=http://127.0.3.1:7100
+controls 3
 
-echo "starting one control instance, two balancers, four agents and the stand-ins"
+echo "starting three control instances, two balancers, four agents and the stand-ins"
 secrets
-control_settings 1
-start control-1 "$bin/control" run --config "$run/control-1.yaml"
+for n in 1 2 3; do
+  control_settings $n
+  start control-$n "$bin/control" run --config "$run/control-$n.yaml"
+done
 for n in 1 2; do
   balancer_settings $n 8443 8444 8445
   start balancer-$n "$bin/balancer" run --config "$run/balancer-$n.yaml"
@@ -64,9 +65,20 @@
 sed -i 's/photos/photos, asked again/' "$run/rules.txt"
 check "an edited file is accepted" operate submit "$run/rules.txt"
 check "revision 2 is in force everywhere" eventually 10 in_force 2 6
-stop control-1 KILL
-start control-1 "$bin/control" run --config "$run/control-1.yaml"
-check "control killed and restarted still has revision 2 in force everywhere" eventually 15 in_force 2 6
+leader() { operate status 2>/dev/null | sed -n 's/.*leader control-//p'; }
+old=$(leader)
+stop control-"$old" KILL
+another_leader() { local l; l=$(leader); [ -n "$l" ] && [ "$l" != "$old" ]; }
+check "the leader of control is killed and another one leads" eventually 15 another_leader
+check "revision 2 is still in force everywhere" eventually 15 in_force 2 6
+rm -r "$run/control-$old"
+start control-"$old" "$bin/control" run --config "$run/control-$old.yaml"
+rejoined() { operate dump "http://127.0.3.$(leader):7100" | tr -d ' \n' | grep -q '"learners":\[\],'; }
+voter() { operate dump "http://127.0.3.$old:7100" | grep -q '"blank": false' && rejoined; }
+check "the killed instance lost its disk, rejoins blank and becomes a voter again" eventually 15 voter
+sed -i 's/asked again/asked a third time/' "$run/rules.txt"
+check "an edited file is accepted" operate submit "$run/rules.txt"
+check "revision 3 is in force everywhere" eventually 10 in_force 3 6
 check "requests are served afterwards" expect "galeria GET /photo/2 " call https://127.0.0.1:8444/photo/2
 stop agent-4 TERM
 check "after one agent was stopped, galeria is served by the other" expect "galeria GET /photo/3 " call https://127.0.0.1:8444/photo/3
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -78,10 +78,23 @@
   "$bin/balsampier" cert "$run/cert.pem" "$run/key.pem" --host 127.0.0.1
 }
 
+# controls N names N control instances in the variables that settings use.
+controls() {
+  local n
+  control_peers='[' control_instances='[' control_urls=
+  for n in $(seq "$1"); do
+    control_peers+="\"127.0.3.$n:7000\","
+    control_instances+="{name: control-$n, peerAddress: \"127.0.3.$n:7000\"},"
+    control_urls+="http://127.0.3.$n:7100,"
+  done
+  control_peers=${control_peers%,}] control_instances=${control_instances%,}] control_urls=${control_urls%,}
+}
+
 control_settings() { # N
   { common "control-$1" lima-1 "127.0.3.$1" 7100; cat <<YAML
 peerAddress: 127.0.3.$1:7000
 dataFolder: $run/control-$1
+instances: $control_instances
 YAML
   } >"$run/control-$1.yaml"
 }
--- a/interfaces.go
+++ b/interfaces.go
@@ -86,22 +86,31 @@
 
 	// ControlClient speaks to the control instances.
 	ControlClient interface {
-		// Renew announces m, renews its lease and reports r as in force.
-		Renew(c context.Context, m Member, r Revision) (Lease, error)
+		// Renew announces a member and renews its lease.
+		Renew(c context.Context, r Renewal) (Lease, error)
 		// Watch calls f with each newer state until c ends or the stream
 		// breaks.
 		Watch(c context.Context, i InstanceID, f func(Update)) error
 	}
 
+	// Renewal is what a member says when it renews its lease.
+	Renewal struct {
+		Member Member
+		// Applied is the rule revision that is in force at the member.
+		Applied Revision
+		// Acknowledged is the newest view epoch that the member uses.
+		Acknowledged Epoch
+	}
+
 	// Lease is the answer to a renewal.
 	Lease struct {
 		// Term is how long the lease lasts from the moment at which the
-		// renewal was sent.
+		// renewal was sent; zero while the member has none.
 		Term time.Duration
-		// Epoch is the current view epoch.
+		// Epoch is the newest committed view epoch.
 		Epoch Epoch
-		// Revision is the current rule revision.
-		Revision Revision
+		// Active is an epoch below which no member has a lease any more.
+		Active Epoch
 	}
 
 	// Update is one message of a watch stream.
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -37,6 +37,6 @@
 	if subtle.ConstantTimeCompare([]byte(m[keyField]), []byte(k.proof)) == 1 {
 		return nil
 	}
-	return balsampier.NewError(balsampier.KindUnauthenticated, "check the peer's key",
-		"give all processes the same peer key file", nil)
+	return encodeError(balsampier.NewError(balsampier.KindUnauthenticated, "check the peer's key",
+		"give all processes the same peer key file", nil))
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
@@ -43,8 +42,8 @@
 	return &ControlClient{key: k, addrs: addrs, next: int(r.Uint64() % uint64(len(addrs)))}
 }
 
-// Renew announces m, renews its lease and reports r as in force.
-func (l *ControlClient) Renew(c context.Context, m balsampier.Member, r balsampier.Revision) (balsampier.Lease, error) {
+// Renew announces a member and renews its lease.
+func (l *ControlClient) Renew(c context.Context, r balsampier.Renewal) (balsampier.Lease, error) {
 	c, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
 	conn, err := l.shared(c)
@@ -52,16 +51,16 @@
 		return balsampier.Lease{}, err
 	}
 	a, err := peerpb.NewDRPCControlCommandClient(conn).Renew(l.key.attach(c), &peerpb.RenewRequest{
-		Member: putMember(m), Applied: uint64(r),
+		Member: putMember(r.Member), Applied: uint64(r.Applied), Acknowledged: uint64(r.Acknowledged),
 	})
 	if err != nil {
 		l.drop(conn)
-		return balsampier.Lease{}, errControl("renew the lease", err)
+		return balsampier.Lease{}, decodeError("renew the lease", err)
 	}
 	return balsampier.Lease{
-		Term:     time.Duration(a.GetTermNanos()),
-		Epoch:    balsampier.Epoch(a.GetEpoch()),
-		Revision: balsampier.Revision(a.GetRevision()),
+		Term:   time.Duration(a.GetTermNanos()),
+		Epoch:  balsampier.Epoch(a.GetEpoch()),
+		Active: balsampier.Epoch(a.GetActive()),
 	}, nil
 }
 
@@ -74,13 +73,13 @@
 	defer func() { _ = conn.Close() }()
 	s, err := peerpb.NewDRPCControlQueryClient(conn).Watch(l.key.attach(c), &peerpb.WatchRequest{Instance: uint64(i)})
 	if err != nil {
-		return errControl("watch", err)
+		return decodeError("watch", err)
 	}
 	defer func() { _ = s.Close() }()
 	for {
 		m, err := s.Recv()
 		if err != nil {
-			return errControl("watch", err)
+			return decodeError("watch", err)
 		}
 		f(update(m))
 	}
@@ -148,12 +147,7 @@
 		l.mu.Lock()
 		l.next = (l.next + 1) % len(l.addrs)
 		l.mu.Unlock()
-		return nil, errControl("dial "+a.String(), err)
+		return nil, decodeError("dial "+a.String(), err)
 	}
 	return drpcconn.New(n), nil
 }
-
-func errControl(op string, err error) error {
-	return trace.Wrap(balsampier.NewError(balsampier.KindUnavailable, op,
-		"it is tried again at another control instance; check that they run", err))
-}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -161,15 +161,14 @@
 func DecodeEntry(b []byte) (*balsampier.Submission, *apply.MembershipChange, error) {
 	var e peerpb.LogEntry
 	if err := proto.Unmarshal(b, &e); err != nil {
-		return nil, nil, balsampier.NewError(balsampier.KindCorrupt, "decode log entry",
-			"replace this instance's data folder as OPERATIONS describes", err)
+		return nil, nil, errCorrupt("decode log entry", err)
 	}
 	if s := e.GetSubmission(); s != nil {
-		id, err := uuid.FromBytes(s.GetId())
+		id, err := submissionID(s.GetId())
 		return &balsampier.Submission{
 			ID: id, Base: balsampier.Revision(s.GetBase()), Text: s.GetText(),
 			Zones: zones(s.GetZones()), At: time.Unix(0, s.GetAtUnixNanos()).UTC(),
-		}, nil, trace.Wrap(err)
+		}, nil, err
 	}
 	m := e.GetMembership()
 	c := &apply.MembershipChange{Joined: members(m.GetJoined())}
@@ -178,3 +177,15 @@
 	}
 	return nil, c, nil
 }
+
+func submissionID(b []byte) (balsampier.SubmissionID, error) {
+	id, err := uuid.FromBytes(b)
+	if err != nil {
+		return id, errCorrupt("decode submission ID", err)
+	}
+	return id, nil
+}
+
+func errCorrupt(op string, err error) error {
+	return balsampier.NewError(balsampier.KindCorrupt, op, "replace this instance's data folder as OPERATIONS describes", err)
+}
--- /dev/null
+++ b/peer/digest.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/lease"
+	"github.com/balsampier/balsampier/peer/peerpb"
+)
+
+func putReport(r lease.Report) *peerpb.Report {
+	return &peerpb.Report{
+		Member: putMember(r.Member), Applied: uint64(r.Applied), Acknowledged: uint64(r.Acknowledged),
+	}
+}
+
+func report(p *peerpb.Report) lease.Report {
+	return lease.Report{
+		Member: member(p.GetMember()), Applied: balsampier.Revision(p.GetApplied()),
+		Acknowledged: balsampier.Epoch(p.GetAcknowledged()),
+	}
+}
+
+func putDigest(d lease.Digest) *peerpb.Digest {
+	p := &peerpb.Digest{
+		Sequence: d.Sequence, Epoch: uint64(d.Epoch), Revision: uint64(d.Revision), Alive: d.Alive,
+	}
+	for _, l := range d.Lagging {
+		p.Lagging = append(p.Lagging, &peerpb.Lagging{
+			Index: uint32(l.Index), Applied: uint64(l.Applied), Acknowledged: uint64(l.Acknowledged),
+		})
+	}
+	for _, r := range d.Changed {
+		p.Changed = append(p.Changed, putReport(r))
+	}
+	return p
+}
+
+func digest(p *peerpb.Digest) lease.Digest {
+	d := lease.Digest{
+		Sequence: p.GetSequence(), Epoch: balsampier.Epoch(p.GetEpoch()),
+		Revision: balsampier.Revision(p.GetRevision()), Alive: p.GetAlive(),
+	}
+	for _, l := range p.GetLagging() {
+		d.Lagging = append(d.Lagging, lease.Lagging{
+			Index: int(l.GetIndex()), Applied: balsampier.Revision(l.GetApplied()),
+			Acknowledged: balsampier.Epoch(l.GetAcknowledged()),
+		})
+	}
+	for _, r := range p.GetChanged() {
+		d.Changed = append(d.Changed, report(r))
+	}
+	return d
+}
+
+func putReceipt(r lease.Receipt) *peerpb.Receipt {
+	return &peerpb.Receipt{
+		Sequence: r.Sequence, TermNanos: r.Grant.Term.Nanoseconds(), Epoch: uint64(r.Grant.Epoch),
+		Active: uint64(r.Grant.Active), Waiting: putHolders(r.Waiting), Conflicting: putHolders(r.Conflicting),
+	}
+}
+
+func receipt(p *peerpb.Receipt) lease.Receipt {
+	return lease.Receipt{
+		Sequence: p.GetSequence(),
+		Grant: lease.Grant{
+			Term: time.Duration(p.GetTermNanos()), Epoch: balsampier.Epoch(p.GetEpoch()),
+			Active: balsampier.Epoch(p.GetActive()),
+		},
+		Waiting: holders(p.GetWaiting()), Conflicting: holders(p.GetConflicting()),
+	}
+}
+
+func putHolder(h balsampier.Holder) *peerpb.Holder {
+	return &peerpb.Holder{Instance: uint64(h.Instance), Incarnation: uint32(h.Incarnation)}
+}
+
+func holder(p *peerpb.Holder) balsampier.Holder {
+	return balsampier.Holder{
+		Instance: balsampier.InstanceID(p.GetInstance()), Incarnation: balsampier.Incarnation(p.GetIncarnation()),
+	}
+}
+
+func putHolders(hs []balsampier.Holder) []*peerpb.Holder {
+	out := make([]*peerpb.Holder, 0, len(hs))
+	for _, h := range hs {
+		out = append(out, putHolder(h))
+	}
+	return out
+}
+
+func holders(ps []*peerpb.Holder) []balsampier.Holder {
+	out := make([]balsampier.Holder, 0, len(ps))
+	for _, p := range ps {
+		out = append(out, holder(p))
+	}
+	return out
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -20,8 +20,8 @@
 type (
 	// ControlHandler answers the calls that members make.
 	ControlHandler interface {
-		// Renew extends the lease of m, which has revision r in force.
-		Renew(c context.Context, m balsampier.Member, r balsampier.Revision) (balsampier.Lease, error)
+		// Renew extends the lease of a member.
+		Renew(c context.Context, r balsampier.Renewal) (balsampier.Lease, error)
 		// Watch calls send with each newer state until c ends.
 		Watch(c context.Context, i balsampier.InstanceID, send func(balsampier.Update) error) error
 	}
@@ -85,12 +85,15 @@
 	if err := s.key.check(c); err != nil {
 		return nil, err
 	}
-	l, err := s.h.Renew(c, member(q.GetMember()), balsampier.Revision(q.GetApplied()))
+	l, err := s.h.Renew(c, balsampier.Renewal{
+		Member: member(q.GetMember()), Applied: balsampier.Revision(q.GetApplied()),
+		Acknowledged: balsampier.Epoch(q.GetAcknowledged()),
+	})
 	if err != nil {
-		return nil, err
+		return nil, encodeError(err)
 	}
 	return &peerpb.RenewResponse{
-		TermNanos: l.Term.Nanoseconds(), Epoch: uint64(l.Epoch), Revision: uint64(l.Revision),
+		TermNanos: l.Term.Nanoseconds(), Epoch: uint64(l.Epoch), Active: uint64(l.Active),
 	}, nil
 }
 
