feat: steer by cached owners of key slots

Cause: a rendezvous scan costs as much as the service has agents, and a table made anew for each view has no past, so that a hint to an agent that the view doesn't know yet was answered by a reset. Change: homes belong to slots of the key; pools above 32 agents cache the owners, which equal the scan's, so crossing the limit moves no home. Next derives a table from the one before. Unknown holders wait unless their run was seen to end; packets of flows without a rule go to a home among all agents. Conclusion: derive on view changes; build anew only at the start.

--- /dev/null
+++ b/query/steer/pool.go
@@ -0,0 +1,126 @@
+package steer
+
+import (
+	"slices"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// slotCount quantizes flow keys. The owner of a slot is the same whether
+	// it is cached or computed, so growing past scanLimit moves no flow.
+	slotCount = 1 << 14
+
+	// scanLimit is the largest pool that is scanned for each packet; larger
+	// pools cache the owner of every slot.
+	scanLimit = 32
+
+	// vacant marks a cached slot whose owner left the pool.
+	vacant = ^uint16(0)
+)
+
+// pool is a set of agents among which each slot has one owner.
+type pool struct {
+	// ids are sorted, without repeats; fewer than vacant.
+	ids []balsampier.InstanceID
+	// at holds the place in the view's members for each of ids.
+	at []int32
+	// owners holds the place in ids of each slot's owner; nil up to scanLimit.
+	owners []uint16
+}
+
+// slotOf returns the slot of a key.
+func slotOf(k balsampier.FlowKey) uint64 { return k.Lo & (slotCount - 1) }
+
+// owner returns the place of the owner of slot s in the view's members.
+func (p *pool) owner(s uint64) (int32, bool) {
+	if p == nil || len(p.ids) == 0 {
+		return 0, false
+	}
+	if p.owners != nil {
+		return p.at[p.owners[s]], true
+	}
+	return p.at[scan(p.ids, s)], true
+}
+
+// fill caches the owners of a large pool. The old pool, where it has a cache,
+// saves all slots but those that changed hands.
+func (p *pool) fill(old *pool) {
+	if len(p.ids) <= scanLimit {
+		return
+	}
+	if old == nil || old.owners == nil {
+		p.owners = make([]uint16, slotCount)
+		for s := range p.owners {
+			p.owners[s] = uint16(scan(p.ids, uint64(s)))
+		}
+		return
+	}
+	if slices.Equal(p.ids, old.ids) {
+		p.owners = old.owners
+		return
+	}
+	p.refill(old)
+}
+
+// refill derives the cache from that of the old pool.
+func (p *pool) refill(old *pool) {
+	moved, added := p.diff(old)
+	p.owners = make([]uint16, slotCount)
+	for s := range p.owners {
+		o := moved[old.owners[s]]
+		if o == vacant {
+			p.owners[s] = uint16(scan(p.ids, uint64(s)))
+			continue
+		}
+		best, top := o, score(p.ids[o], uint64(s))
+		for _, a := range added {
+			if x := score(p.ids[a], uint64(s)); x > top {
+				best, top = a, x
+			}
+		}
+		p.owners[s] = best
+	}
+}
+
+// diff returns the new place of each old agent, and the places of new agents.
+func (p *pool) diff(old *pool) (moved, added []uint16) {
+	moved = make([]uint16, len(old.ids))
+	i := 0
+	for j, id := range p.ids {
+		for i < len(old.ids) && old.ids[i] < id {
+			moved[i] = vacant
+			i++
+		}
+		if i < len(old.ids) && old.ids[i] == id {
+			moved[i] = uint16(j)
+			i++
+			continue
+		}
+		added = append(added, uint16(j))
+	}
+	for ; i < len(old.ids); i++ {
+		moved[i] = vacant
+	}
+	return moved, added
+}
+
+// scan returns the place of the agent with the highest score for the slot.
+func scan(ids []balsampier.InstanceID, s uint64) int {
+	best, top := 0, uint64(0)
+	for i, id := range ids {
+		if x := score(id, s); x > top {
+			best, top = i, x
+		}
+	}
+	return best
+}
+
+// score mixes an agent and a slot by the finalizer of SplitMix64. It is one
+// to one in the agent, so that scores of a slot never tie.
+func score(i balsampier.InstanceID, s uint64) uint64 {
+	x := uint64(i) + s*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/query/steer/steer.go
+++ b/query/steer/steer.go
@@ -3,22 +3,26 @@
 package steer
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/balsampier/balsampier"
 )
 
+// Any names no service. Its home is chosen among all agents; it serves the
+// packets of flows that no rule covers any more.
+const Any balsampier.ServiceName = ""
+
 type (
 	// Table steers by one rule table and one view.
 	Table struct {
 		rules balsampier.RuleTable
-		epoch balsampier.Epoch
-		// agents holds the agents of the view by ID.
-		agents map[balsampier.InstanceID]balsampier.Member
-		// open holds the agents of each service that take new flows, sorted
-		// by ID.
-		open map[balsampier.ServiceName][]balsampier.Member
+		view  balsampier.View
+		// agents holds the place of each agent in the view's members.
+		agents map[balsampier.InstanceID]int32
+		// open holds the agents of each service that take new flows, and under
+		// Any all agents that do.
+		open map[balsampier.ServiceName]*pool
+		// before is the table of the previous view, without its own past; nil
+		// for a first table.
+		before *Table
 	}
 )
 
@@ -26,98 +30,168 @@
 
 // New returns a table for the rules and the view.
 func New(rules balsampier.RuleTable, v balsampier.View) *Table {
-	t := &Table{
+	return (*Table)(nil).Next(rules, v)
+}
+
+// Next returns the table that follows t. It derives from t what did not
+// change, and answers as a table made by New does.
+func (t *Table) Next(rules balsampier.RuleTable, v balsampier.View) *Table {
+	n := &Table{
 		rules:  rules,
-		epoch:  v.Epoch,
-		agents: make(map[balsampier.InstanceID]balsampier.Member),
-		open:   make(map[balsampier.ServiceName][]balsampier.Member),
+		view:   v,
+		agents: make(map[balsampier.InstanceID]int32, len(v.Members)),
+		open:   make(map[balsampier.ServiceName]*pool),
 	}
-	for _, m := range v.Members {
-		if m.Role != balsampier.RoleAgent {
-			continue
-		}
-		t.agents[m.ID] = m
-		if !m.Draining {
-			t.open[m.Service] = append(t.open[m.Service], m)
+	for i := range v.Members {
+		n.add(int32(i))
+	}
+	for s, p := range n.open {
+		p.fill(t.pool(s))
+	}
+	n.before = t.past(v.Epoch)
+	return n
+}
+
+// past returns what the successor of t at epoch e keeps of the past.
+func (t *Table) past(e balsampier.Epoch) *Table {
+	if t == nil {
+		return nil
+	}
+	if t.view.Epoch == e {
+		return t.before
+	}
+	b := *t
+	b.before = nil
+	return &b
+}
+
+func (t *Table) add(i int32) {
+	m := &t.view.Members[i]
+	if m.Role != balsampier.RoleAgent {
+		return
+	}
+	t.agents[m.ID] = i
+	if m.Draining {
+		return
+	}
+	for _, s := range [...]balsampier.ServiceName{m.Service, Any} {
+		p := t.open[s]
+		if p == nil {
+			p = &pool{}
+			t.open[s] = p
 		}
+		p.ids = append(p.ids, m.ID)
+		p.at = append(p.at, i)
+	}
+}
+
+func (t *Table) pool(s balsampier.ServiceName) *pool {
+	if t == nil {
+		return nil
 	}
-	for _, ms := range t.open {
-		slices.SortFunc(ms, func(a, b balsampier.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return t.open[s]
+}
+
+// Epoch returns the epoch of the view.
+func (t *Table) Epoch() balsampier.Epoch { return t.view.Epoch }
+
+// View returns the view.
+func (t *Table) View() balsampier.View { return t.view }
+
+// Agent returns the agent with the given ID.
+func (t *Table) Agent(i balsampier.InstanceID) (balsampier.Member, bool) {
+	at, ok := t.agents[i]
+	if !ok {
+		return balsampier.Member{}, false
 	}
-	return t
+	return t.view.Members[at], true
 }
 
 // Steer returns the verdict on p.
 func (t *Table) Steer(p balsampier.Packet) balsampier.Verdict {
-	v := balsampier.Verdict{Revision: t.rules.Revision(), Epoch: t.epoch}
+	v := balsampier.Verdict{Revision: t.rules.Revision(), Epoch: t.view.Epoch}
 	if p.Hops >= balsampier.MaxHops {
 		v.Reason = balsampier.ReasonHops
 		return v
 	}
 	if !p.Holder.IsZero() {
-		return t.toHolder(v, p)
+		return t.toHolder(v, p.Holder)
 	}
 	r, ok := t.rules.InForce(p.ServiceAddr, p.Caller.Addr(), p.At)
-	if !ok {
+	if !ok && p.Opening {
 		v.Action, v.Reason = balsampier.ActionRefuse, balsampier.ReasonNoRule
-		if !p.Opening {
-			v.Action = balsampier.ActionReset
-		}
 		return v
 	}
 	return t.toHome(v, r.Service, p)
 }
 
-// Home returns the agent that decides on new flows with the given key.
+// Home returns the agent that decides on flows with the given key.
 func (t *Table) Home(s balsampier.ServiceName, k balsampier.FlowKey) (balsampier.Member, bool) {
-	return rendezvous(t.open[s], k)
+	i, ok := t.open[s].owner(slotOf(k))
+	if !ok {
+		return balsampier.Member{}, false
+	}
+	return t.view.Members[i], true
 }
 
-func (t *Table) toHolder(v balsampier.Verdict, p balsampier.Packet) balsampier.Verdict {
-	m, ok := t.agents[p.Holder.Instance]
-	if !ok || m.Incarnation != p.Holder.Incarnation {
-		v.Action, v.Reason = balsampier.ActionReset, balsampier.ReasonHolderGone
-		return v
+// PreviousHome returns the home under the previous view when the agent is
+// still in this view.
+func (t *Table) PreviousHome(s balsampier.ServiceName, k balsampier.FlowKey) (balsampier.Member, bool) {
+	if t.before == nil {
+		return balsampier.Member{}, false
+	}
+	m, ok := t.before.Home(s, k)
+	if !ok {
+		return m, false
+	}
+	n, ok := t.Agent(m.ID)
+	return n, ok && n.Incarnation == m.Incarnation
+}
+
+// toHolder sends the packet to the run that has its flow. Only a run that was
+// seen to end is taken for gone: a view that lags knows nothing of new agents.
+func (t *Table) toHolder(v balsampier.Verdict, h balsampier.Holder) balsampier.Verdict {
+	i, ok := t.agents[h.Instance]
+	if ok && t.view.Members[i].Incarnation == h.Incarnation {
+		return forward(v, &t.view.Members[i])
 	}
-	return forward(v, m)
+	v.Action, v.Reason = balsampier.ActionWait, balsampier.ReasonHolderGone
+	if t.ended(h) {
+		v.Action = balsampier.ActionReset
+	}
+	return v
+}
+
+// ended reports whether the run surely ended.
+func (t *Table) ended(h balsampier.Holder) bool {
+	if m, ok := t.Agent(h.Instance); ok {
+		return m.Incarnation > h.Incarnation
+	}
+	if t.before == nil {
+		return false
+	}
+	m, ok := t.before.Agent(h.Instance)
+	return ok && m.Incarnation >= h.Incarnation
 }
 
 func (t *Table) toHome(v balsampier.Verdict, s balsampier.ServiceName, p balsampier.Packet) balsampier.Verdict {
-	m, ok := t.Home(s, p.Flow)
+	i, ok := t.open[s].owner(slotOf(p.Flow))
+	if !ok && !p.Opening {
+		i, ok = t.open[Any].owner(slotOf(p.Flow))
+	}
 	if !ok {
 		v.Action, v.Reason = balsampier.ActionRefuse, balsampier.ReasonNoBackendServer
+		if !p.Opening {
+			v.Action = balsampier.ActionWait
+		}
 		return v
 	}
+	v = forward(v, &t.view.Members[i])
 	v.Service = s
-	return forward(v, m)
+	return v
 }
 
-func forward(v balsampier.Verdict, m balsampier.Member) balsampier.Verdict {
+func forward(v balsampier.Verdict, m *balsampier.Member) balsampier.Verdict {
 	v.Action, v.Target, v.Addr, v.Service = balsampier.ActionForward, m.Holder(), m.Addr, m.Service
 	return v
 }
-
-// rendezvous returns the member with the highest score for the key.
-func rendezvous(ms []balsampier.Member, k balsampier.FlowKey) (balsampier.Member, bool) {
-	best, top := -1, uint64(0)
-	for i := range ms {
-		if s := score(ms[i].ID, k); best < 0 || s > top {
-			best, top = i, s
-		}
-	}
-	if best < 0 {
-		return balsampier.Member{}, false
-	}
-	return ms[best], true
-}
-
-// score mixes an agent and a key by the finalizer of SplitMix64.
-func score(i balsampier.InstanceID, k balsampier.FlowKey) uint64 {
-	x := uint64(i) ^ k.Hi
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	x ^= k.Lo
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
