feat: place new flows once and keep them findable

Cause: an opening packet that is repeated under another view or another rule revision reached another home, which gave the flow a second holder; a packet without a hint did not find a holder that isn't the home. Change: register has the holder's registrar and the home's directory; place decides on arrivals. Epochs number published states (view and rules) and are serial; a home decides at once where it was the home before too, and otherwise once the epoch is settled.

--- a/flow.go
+++ b/flow.go
@@ -41,6 +41,15 @@
 	ReasonIncarnation
 	// ReasonUnknownFlow means that no registration of the flow was found.
 	ReasonUnknownFlow
+	// ReasonUnsettled means that another instance may still decide on the
+	// flow under the view before.
+	ReasonUnsettled
+	// ReasonLease means that the agent's own lease ran out.
+	ReasonLease
+	// ReasonDraining means that the agent takes no new flows.
+	ReasonDraining
+	// ReasonEpoch means that the packet was placed under an older view.
+	ReasonEpoch
 )
 
 // MaxHops bounds how often one packet is passed on between instances.
@@ -138,6 +147,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noRule", "noBackendServer", "holderGone", "hops", "service", "incarnation", "unknownFlow",
+		"unsettled", "lease", "draining", "epoch",
 	}[r]
 }
 
--- a/query/steer/steer.go
+++ b/query/steer/steer.go
@@ -18,7 +18,7 @@
 		// agents holds the place of each agent in the view's members.
 		agents map[balsampier.InstanceID]int32
 		// open holds the agents of each service that take new flows, and under
-		// Any all agents that do.
+		// Any all agents, so that flows have a home while all agents drain.
 		open map[balsampier.ServiceName]*pool
 		// before is the table of the previous view, without its own past; nil
 		// for a first table.
@@ -71,18 +71,20 @@
 		return
 	}
 	t.agents[m.ID] = i
-	if m.Draining {
-		return
+	t.enter(Any, m.ID, i)
+	if !m.Draining {
+		t.enter(m.Service, m.ID, i)
 	}
-	for _, s := range [...]balsampier.ServiceName{m.Service, Any} {
-		p := t.open[s]
-		if p == nil {
-			p = &pool{}
-			t.open[s] = p
-		}
-		p.ids = append(p.ids, m.ID)
-		p.at = append(p.at, i)
+}
+
+func (t *Table) enter(s balsampier.ServiceName, id balsampier.InstanceID, i int32) {
+	p := t.open[s]
+	if p == nil {
+		p = &pool{}
+		t.open[s] = p
 	}
+	p.ids = append(p.ids, id)
+	p.at = append(p.at, i)
 }
 
 func (t *Table) pool(s balsampier.ServiceName) *pool {
@@ -195,3 +197,44 @@
 	v.Action, v.Target, v.Addr, v.Service = balsampier.ActionForward, m.Holder(), m.Addr, m.Service
 	return v
 }
+
+// Revision returns the revision of the rules.
+func (t *Table) Revision() balsampier.Revision { return t.rules.Revision() }
+
+// Alive reports whether the run is a member of the view.
+func (t *Table) Alive(h balsampier.Holder) bool {
+	m, ok := t.Agent(h.Instance)
+	return ok && m.Incarnation == h.Incarnation
+}
+
+// HomeOf returns the run that is the home; zero without one.
+func (t *Table) HomeOf(s balsampier.ServiceName, k balsampier.FlowKey) balsampier.Holder {
+	m, ok := t.Home(s, k)
+	if !ok {
+		return balsampier.Holder{}
+	}
+	return m.Holder()
+}
+
+// Homes returns the homes that must know a flow of service s: where its
+// packets arrive without a hint by the rules, and the home of its own service.
+func (t *Table) Homes(s balsampier.ServiceName, p balsampier.Packet) []balsampier.Holder {
+	h := t.HomeOf(t.Service(p), p.Flow)
+	if h.IsZero() {
+		h = t.HomeOf(Any, p.Flow)
+	}
+	if h.IsZero() {
+		return nil
+	}
+	own := t.HomeOf(s, p.Flow)
+	if own.IsZero() || own == h {
+		return []balsampier.Holder{h}
+	}
+	return []balsampier.Holder{h, own}
+}
+
+// Service returns the service that the rules name for the packet, or Any.
+func (t *Table) Service(p balsampier.Packet) balsampier.ServiceName {
+	r, _ := t.rules.InForce(p.ServiceAddr, p.Caller.Addr(), p.At)
+	return r.Service
+}
