fix: send packets to agents that left the view until a later run shows up

Ruled out: the agent, which had both streams open, and the route of answers. Change: only a later incarnation proves that a run ended. An unknown holder's packets are dropped, so that they are repeated through another balancer; an agent that left is remembered with its address (at most 16384). Conclusion: a dead agent's callers find out by their own timers until its next run; no live agent's flow is reset.

--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -237,4 +237,4 @@
 	return nil
 }
 
-func (a *Agent) changed(s control.State) { a.table.Store(steer.New(s.Table, s.View)) }
+func (a *Agent) changed(s control.State) { a.table.Store(a.table.Load().Next(s.Table, s.View)) }
--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -200,7 +200,7 @@
 	return nil
 }
 
-func (b *Balancer) changed(s control.State) { b.table.Store(steer.New(s.Table, s.View)) }
+func (b *Balancer) changed(s control.State) { b.table.Store(b.table.Load().Next(s.Table, s.View)) }
 
 func (b *Balancer) refuse(e *caller.Endpoint) func(context.Context) error {
 	return func(c context.Context) error {
--- a/query/steer/steer.go
+++ b/query/steer/steer.go
@@ -10,6 +10,9 @@
 // packets of flows that no rule covers any more.
 const Any balsampier.ServiceName = ""
 
+// maxDeparted bounds the memory of agents that left; the newest stay.
+const maxDeparted = 16384
+
 type (
 	// Table steers by one rule table and one view.
 	Table struct {
@@ -20,10 +23,21 @@
 		// open holds the agents of each service that take new flows, and under
 		// Any all agents, so that flows have a home while all agents drain.
 		open map[balsampier.ServiceName]*pool
+		// departed holds agents that left the view and were not seen in a later
+		// run; at most maxDeparted. They may be cut off from control only, so
+		// that their flows are still sent to them.
+		departed map[balsampier.InstanceID]departure
 		// before is the table of the previous view, without its own past; nil
 		// for a first table.
 		before *Table
 	}
+
+	// departure is an agent that left the view.
+	departure struct {
+		member balsampier.Member
+		// epoch is the first one without the agent.
+		epoch balsampier.Epoch
+	}
 )
 
 var _ balsampier.FlowSteerer = (*Table)(nil)
@@ -49,9 +63,43 @@
 		p.fill(t.pool(s))
 	}
 	n.before = t.past(v.Epoch)
+	n.departed = t.departures(n)
 	return n
 }
 
+// departures returns the agents that left by the time of n.
+func (t *Table) departures(n *Table) map[balsampier.InstanceID]departure {
+	d := make(map[balsampier.InstanceID]departure)
+	if t == nil {
+		return d
+	}
+	for id, x := range t.departed {
+		if _, back := n.agents[id]; !back {
+			d[id] = x
+		}
+	}
+	for id, i := range t.agents {
+		if _, stays := n.agents[id]; !stays {
+			d[id] = departure{member: t.view.Members[i], epoch: n.view.Epoch}
+		}
+	}
+	for len(d) > maxDeparted {
+		delete(d, oldest(d))
+	}
+	return d
+}
+
+func oldest(d map[balsampier.InstanceID]departure) balsampier.InstanceID {
+	var first balsampier.InstanceID
+	e := ^balsampier.Epoch(0)
+	for id, x := range d {
+		if x.epoch < e {
+			first, e = id, x.epoch
+		}
+	}
+	return first
+}
+
 // past returns what the successor of t at epoch e keeps of the past.
 func (t *Table) past(e balsampier.Epoch) *Table {
 	if t == nil {
@@ -150,32 +198,24 @@
 	return n, ok && n.Incarnation == m.Incarnation
 }
 
-// toHolder sends the packet to the run that has its flow. Only a run that was
-// seen to end is taken for gone: a view that lags knows nothing of new agents.
+// toHolder sends the packet to the run that has its flow. Only a run with a
+// later one is taken for ended: a view that lags knows nothing of new agents,
+// and an agent that left the view may be cut off from control only.
 func (t *Table) toHolder(v balsampier.Verdict, h balsampier.Holder) balsampier.Verdict {
-	i, ok := t.agents[h.Instance]
-	if ok && t.view.Members[i].Incarnation == h.Incarnation {
-		return forward(v, &t.view.Members[i])
+	m, ok := t.Agent(h.Instance)
+	if d, left := t.departed[h.Instance]; !ok && left {
+		m, ok = d.member, true
+	}
+	if ok && m.Incarnation == h.Incarnation {
+		return forward(v, &m)
 	}
 	v.Action, v.Reason = balsampier.ActionWait, balsampier.ReasonHolderGone
-	if t.ended(h) {
+	if ok && m.Incarnation > h.Incarnation {
 		v.Action = balsampier.ActionReset
 	}
 	return v
 }
 
-// ended reports whether the run surely ended.
-func (t *Table) ended(h balsampier.Holder) bool {
-	if m, ok := t.Agent(h.Instance); ok {
-		return m.Incarnation > h.Incarnation
-	}
-	if t.before == nil {
-		return false
-	}
-	m, ok := t.before.Agent(h.Instance)
-	return ok && m.Incarnation >= h.Incarnation
-}
-
 func (t *Table) toHome(v balsampier.Verdict, s balsampier.ServiceName, p balsampier.Packet) balsampier.Verdict {
 	i, ok := t.open[s].owner(slotOf(p.Flow))
 	if !ok && !p.Opening {
