test: run the replicated log on a fake network and fake disks

Cause: the state machine had no proof. Change: a cluster of three or five nodes is driven by rapid through lost, repeated, reordered and delayed messages, one-way cuts, crashes, torn saves and lost disks; focused tests for the lease, rejoin, bootstrap and repair.

--- /dev/null
+++ b/command/replicate/replicate_test.go
@@ -0,0 +1,257 @@
+package replicate
+
+import (
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/balsampier/balsampier"
+)
+
+// TestCluster runs clusters through any order of faults. The sim checks that
+// no committed entry is lost or changed, that a term has one leader, and that
+// no read is stale; in the end the cluster must make progress.
+func TestCluster(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+	}{{"three nodes", 3}, {"five nodes", 5}}
+	for _, tt := range tests {
+		t.Run(tt.name, rapid.MakeCheck(func(t *rapid.T) {
+			s := newSim(tt.size, rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+			node := func() *simNode { return s.nodes[rapid.IntRange(0, tt.size-1).Draw(t, "node")] }
+			t.Repeat(map[string]func(*rapid.T){
+				"run": func(t *rapid.T) {
+					s.run(rapid.IntRange(1, 30).Draw(t, "ticks"), rapid.IntRange(0, 30).Draw(t, "lose"), 20, 5)
+				},
+				"runWell": func(t *rapid.T) { s.run(rapid.IntRange(10, 50).Draw(t, "ticks"), 0, 0, 0) },
+				"pump":    func(*rapid.T) { s.pump(10, 20, 10) },
+				"propose": func(*rapid.T) {
+					for _, d := range s.nodes {
+						if d.up {
+							s.propose(d)
+							s.propose(d)
+						}
+					}
+				},
+				"read": func(*rapid.T) {
+					for _, d := range s.nodes {
+						if d.up {
+							s.read(d)
+						}
+					}
+				},
+				"sync":  func(*rapid.T) { s.sync(node()) },
+				"crash": func(t *rapid.T) { s.crash(node(), rapid.Bool().Draw(t, "tear")) },
+				"crashLeader": func(*rapid.T) {
+					if l := s.leader(); l != nil {
+						s.crash(l, false)
+					}
+				},
+				"restart": func(*rapid.T) {
+					if d := node(); !d.up {
+						s.start(d)
+					}
+				},
+				"cut": func(*rapid.T) { s.cut[[2]balsampier.InstanceID{node().id, node().id}] = true },
+				"isolate": func(*rapid.T) {
+					d := node()
+					for _, x := range s.nodes {
+						s.cut[[2]balsampier.InstanceID{d.id, x.id}] = true
+						s.cut[[2]balsampier.InstanceID{x.id, d.id}] = true
+					}
+				},
+				"heal": func(*rapid.T) { s.heal() },
+				"transfer": func(*rapid.T) {
+					if l := s.leader(); l != nil && l.n.Transfer() == nil {
+						s.drain(l)
+					}
+				},
+				"loseDisk": func(t *rapid.T) {
+					if !s.intact() {
+						t.Skip("a disk is lost already")
+					}
+					s.loseDisk(node())
+				},
+			})
+			s.stabilize()
+		}))
+	}
+}
+
+// TestSecondFailureAfterRepair loses a disk, lets the cluster repair it, and
+// at once takes another instance away for good.
+func TestSecondFailureAfterRepair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(3, rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		s.stabilize()
+		for range rapid.IntRange(1, 40).Draw(t, "entries") {
+			s.propose(s.leader())
+		}
+		s.run(rapid.IntRange(0, 3).Draw(t, "ticks"), 0, 10, 0)
+		lost := s.nodes[rapid.IntRange(0, 2).Draw(t, "lost")]
+		s.loseDisk(lost)
+		s.start(lost)
+		for k := 0; !s.intact(); k++ {
+			if k == stabilizeTicks {
+				t.Fatalf("not repaired")
+			}
+			s.run(1, 0, 10, 0)
+		}
+		want := s.highest
+		other := s.nodes[(int(lost.id)-1+rapid.IntRange(1, 2).Draw(t, "other"))%3]
+		s.loseDisk(other)
+		s.run(stabilizeTicks, 0, 0, 0)
+		l := s.leader()
+		if l == nil || l.applied < want {
+			t.Fatalf("committed up to %d, leader after the second failure: %+v", want, l)
+		}
+	})
+}
+
+func TestCutOffLeader(t *testing.T) {
+	tests := []struct {
+		name string
+		// to and from tell which directions of the leader are cut.
+		to, from bool
+	}{{"both ways", true, true}, {"cannot be heard", false, true}, {"cannot hear", true, false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSim(5, 3, c.Fatalf)
+			s.stabilize()
+			l := s.leader()
+			before := s.answered
+			for _, d := range s.nodes {
+				s.cut[[2]balsampier.InstanceID{l.id, d.id}] = tt.from
+				s.cut[[2]balsampier.InstanceID{d.id, l.id}] = tt.to
+			}
+			s.net = nil
+			s.read(l)
+			s.run(9, 0, 0, 0)
+			s.read(l)
+			s.run(3, 0, 0, 0)
+			c.Assert(s.answered, qt.Equals, before)
+			c.Assert(l.n.Status().Role, qt.Not(qt.Equals), RoleLeader)
+			c.Assert(balsampier.KindOf(l.n.Read(99)), qt.Equals, balsampier.KindNotLeader)
+			s.run(60, 0, 0, 0)
+			c.Assert(s.leader(), qt.Not(qt.IsNil))
+			s.stabilize()
+		})
+	}
+}
+
+// TestRejoin cuts a follower off for long; its return must not change the
+// leader or the term.
+func TestRejoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(3, rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		s.stabilize()
+		l := s.leader()
+		d := s.nodes[int(l.id)%3]
+		for _, x := range s.nodes {
+			s.cut[[2]balsampier.InstanceID{d.id, x.id}] = true
+			s.cut[[2]balsampier.InstanceID{x.id, d.id}] = rapid.Bool().Draw(t, "deaf")
+		}
+		for range rapid.IntRange(1, 20).Draw(t, "rounds") {
+			s.propose(l)
+			s.run(20, 0, 0, 0)
+		}
+		term := l.n.Status().Term
+		clear(s.cut)
+		s.run(40, 0, 0, 0)
+		if n := s.leader(); n != l || n.n.Status().Term != term {
+			t.Fatalf("leader %v of term %d was deposed: %+v", l.id, term, n.n.Status())
+		}
+		if d.applied != s.highest {
+			t.Fatalf("the rejoined node applied %d of %d", d.applied, s.highest)
+		}
+	})
+}
+
+// TestBootstrapNeedsAll checks that a cluster is founded by all or not at
+// all.
+func TestBootstrapNeedsAll(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+		down []int
+	}{{"last away", 3, []int{2}}, {"first away", 3, []int{0}}, {"two of five away", 5, []int{1, 3}}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSim(tt.size, 5, c.Fatalf)
+			for _, i := range tt.down {
+				s.crash(s.nodes[i], false)
+			}
+			s.run(stabilizeTicks, 0, 0, 0)
+			c.Assert(s.leaders, qt.HasLen, 0)
+			for _, d := range s.nodes {
+				c.Assert(d.n.Status().Blank, qt.IsTrue)
+			}
+			s.stabilize()
+		})
+	}
+}
+
+// TestBlankMajority loses two of three disks at once: the remaining one must
+// not be outvoted by blank ones.
+func TestBlankMajority(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(3, 9, c.Fatalf)
+	s.stabilize()
+	term := s.leader().n.Status().Term
+	for _, i := range []int{0, 1} {
+		s.loseDisk(s.nodes[i])
+		s.start(s.nodes[i])
+	}
+	s.crash(s.nodes[2], false)
+	s.run(stabilizeTicks, 0, 0, 0)
+	s.start(s.nodes[2])
+	s.run(stabilizeTicks, 0, 0, 0)
+	c.Assert(s.leader(), qt.IsNil)
+	for k := range s.leaders {
+		c.Assert(k <= term, qt.IsTrue)
+	}
+}
+
+func TestMembership(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(3, 11, c.Fatalf)
+	s.stabilize()
+	l := s.leader()
+	gone := s.nodes[int(l.id)%3]
+	c.Assert(l.n.RemoveInstance(gone.id), qt.IsNil)
+	c.Assert(balsampier.KindOf(l.n.AddInstance(77)), qt.Equals, balsampier.KindUnavailable)
+	s.run(10, 0, 0, 0)
+	c.Assert(slices.ContainsFunc(s.set.Voters, func(r balsampier.Replica) bool { return r.Instance == gone.id }), qt.IsFalse)
+	c.Assert(l.n.AddInstance(gone.id), qt.IsNil)
+	s.stabilize()
+	c.Assert(s.set.Voters, qt.HasLen, 3)
+}
+
+func TestOldDiskDoesNotCount(t *testing.T) {
+	c := qt.New(t)
+	s := newSim(3, 13, c.Fatalf)
+	s.stabilize()
+	l := s.leader()
+	d := s.nodes[int(l.id)%3]
+	old := balsampier.Replica{Instance: d.id, Disk: d.disk.Disk}
+	s.loseDisk(d)
+	s.start(d)
+	s.stabilize()
+	l = s.leader()
+	s.net = nil
+	for _, x := range s.nodes {
+		s.cut[[2]balsampier.InstanceID{x.id, l.id}] = true
+	}
+	s.propose(l)
+	s.sync(l)
+	commit := l.n.Status().Commit
+	l.n.Step(Message{
+		Kind: MessageAppendAnswer, From: old, To: l.n.Status().Self, Term: l.n.Status().Term, Index: l.n.Status().Last,
+	})
+	c.Assert(l.n.Status().Commit, qt.Equals, commit)
+}
--- /dev/null
+++ b/command/replicate/sim_test.go
@@ -0,0 +1,339 @@
+package replicate
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	testElection = time.Second
+	// stabilizeTicks bounds, in ticks of a heartbeat, how long a cluster
+	// without faults takes to commit everywhere: 30 election timeouts.
+	stabilizeTicks = 300
+)
+
+type (
+	// sim is a cluster on a fake network with fake disks. It records what was
+	// ever seen committed and fails on any contradiction.
+	sim struct {
+		fail  func(format string, args ...any)
+		rng   *rand.Rand
+		now   time.Time
+		nodes []*simNode
+		net   []Message
+		// cut holds the directed links that lose everything.
+		cut map[[2]balsampier.InstanceID]bool
+		// committed is what was seen committed, by index; digests hold the
+		// applied state after it.
+		committed map[balsampier.Index]balsampier.Entry
+		digests   map[balsampier.Index]uint64
+		leaders   map[balsampier.Term]balsampier.Replica
+		highest   balsampier.Index
+		// set is the newest committed replica set.
+		set      balsampier.ReplicaSet
+		setIndex balsampier.Index
+		// reads holds the highest index committed when the read began.
+		reads    map[ReadToken]balsampier.Index
+		answered int
+		proposed int
+	}
+
+	simNode struct {
+		n    *Node
+		id   balsampier.InstanceID
+		up   bool
+		disk balsampier.StoredLog
+		// unsynced is lost in a crash.
+		unsynced []balsampier.LogWork
+		applied  balsampier.Index
+		digest   uint64
+	}
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "60")
+	_ = flag.Set("rapid.steps", "60")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func newSim(size int, seed uint64, fail func(format string, args ...any)) *sim {
+	s := &sim{
+		fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0),
+		cut:       make(map[[2]balsampier.InstanceID]bool),
+		committed: make(map[balsampier.Index]balsampier.Entry),
+		digests:   make(map[balsampier.Index]uint64),
+		leaders:   make(map[balsampier.Term]balsampier.Replica),
+		reads:     make(map[ReadToken]balsampier.Index),
+	}
+	for i := range size {
+		s.nodes = append(s.nodes, &simNode{id: balsampier.InstanceID(i + 1)})
+		s.nodes[i].disk.Disk = balsampier.DiskIncarnation(s.rng.Uint64() | 1)
+	}
+	for _, d := range s.nodes {
+		s.start(d)
+	}
+	return s
+}
+
+func (s *sim) start(d *simNode) {
+	var ps []balsampier.InstanceID
+	for _, x := range s.nodes {
+		ps = append(ps, x.id)
+	}
+	stored := d.disk
+	stored.Entries = slices.Clone(stored.Entries)
+	n, err := New(Config{
+		Instance: d.id, Peers: ps, Election: testElection, Random: s.rng, SnapshotEvery: 12, KeepEntries: 4,
+		MaxBatch: 5, MaxInflight: 8,
+	}, stored, s.now)
+	if err != nil {
+		s.fail("start: %v", err)
+	}
+	d.n, d.up, d.applied, d.digest = n, true, 0, 0
+	s.drain(d)
+}
+
+// crash loses unsynced work; of the oldest, the snapshot may have lasted.
+func (s *sim) crash(d *simNode, tear bool) {
+	if tear && len(d.unsynced) > 0 && d.unsynced[0].Snapshot != nil {
+		d.disk = saved(d.disk, balsampier.LogWork{Snapshot: d.unsynced[0].Snapshot})
+	}
+	d.up, d.unsynced = false, nil
+}
+
+// loseDisk replaces the disk by a blank one.
+func (s *sim) loseDisk(d *simNode) {
+	s.crash(d, false)
+	d.disk = balsampier.StoredLog{Disk: balsampier.DiskIncarnation(s.rng.Uint64() | 1)}
+}
+
+// intact reports whether every instance is a committed voter with the disk
+// that it has; only then may a disk be lost.
+func (s *sim) intact() bool {
+	for _, d := range s.nodes {
+		if !s.set.HasVoter(balsampier.Replica{Instance: d.id, Disk: d.disk.Disk}) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) sync(d *simNode) {
+	for d.up && len(d.unsynced) > 0 {
+		w := d.unsynced[0]
+		d.unsynced = d.unsynced[1:]
+		d.disk = saved(d.disk, w)
+		d.n.DiskDone(w.Seq)
+		s.drain(d)
+	}
+}
+
+// saved is what a store holds after w.
+func saved(l balsampier.StoredLog, w balsampier.LogWork) balsampier.StoredLog {
+	if p := w.Snapshot; p != nil {
+		k := int(p.Index) - int(l.Snapshot.Index)
+		keep := !w.Reset && k > 0 && k <= len(l.Entries) && l.Entries[k-1].Term == p.Term
+		if keep {
+			l.Entries = slices.Clone(l.Entries[k:])
+		} else {
+			l.Entries = nil
+		}
+		l.Snapshot = *p
+	}
+	if w.Hard != nil {
+		l.Hard = *w.Hard
+	}
+	if len(w.Entries) > 0 {
+		k := w.Entries[0].Index - l.Snapshot.Index - 1
+		l.Entries = append(slices.Clone(l.Entries[:k]), w.Entries...)
+	}
+	return l
+}
+
+// drain takes the outputs of a node and checks them.
+func (s *sim) drain(d *simNode) {
+	for {
+		o := d.n.Take()
+		if t := d.n.Status(); t.Role == RoleLeader {
+			if l, ok := s.leaders[t.Term]; ok && l != t.Self {
+				s.fail("two leaders in term %d: %v and %v", t.Term, l, t.Self)
+			}
+			s.leaders[t.Term] = t.Self
+		}
+		s.net = append(s.net, o.Messages...)
+		if o.Work != nil {
+			d.unsynced = append(d.unsynced, *o.Work)
+		}
+		s.apply(d, o)
+		for _, r := range o.Reads {
+			if !r.Refused {
+				s.answered++
+			}
+			if !r.Refused && r.Index < s.reads[r.Token] {
+				s.fail("read %d answered at %d, committed before it: %d", r.Token, r.Index, s.reads[r.Token])
+			}
+		}
+		if !o.WantSnapshot {
+			return
+		}
+		d.n.Compact(d.applied, binary.BigEndian.AppendUint64(nil, d.digest))
+	}
+}
+
+func (s *sim) apply(d *simNode, o Output) {
+	if p := o.Restore; p != nil {
+		d.applied, d.digest = p.Index, binary.BigEndian.Uint64(p.Data)
+		s.check(d, "restored")
+	}
+	if d.applied == 0 {
+		d.applied = firstIndex
+	}
+	for _, e := range o.Committed {
+		if e.Index != d.applied+1 {
+			s.fail("node %d applies %d after %d", d.id, e.Index, d.applied)
+		}
+		if x, ok := s.committed[e.Index]; ok && (x.Term != e.Term || string(x.Data) != string(e.Data)) {
+			s.fail("committed entry %d changed at node %d: %v, now %v", e.Index, d.id, x, e)
+		}
+		s.committed[e.Index] = e
+		s.highest = max(s.highest, e.Index)
+		if e.Kind == balsampier.EntryMembership && e.Index > s.setIndex {
+			s.set, s.setIndex = e.Set, e.Index
+		}
+		d.applied = e.Index
+		d.digest = xxhash.Sum64String(fmt.Sprint(d.digest, e.Index, e.Term, string(e.Data)))
+		s.check(d, "applied")
+	}
+	if s.setIndex == 0 && !d.n.Status().Blank {
+		s.set, s.setIndex = d.n.Status().Set, firstIndex
+	}
+}
+
+func (s *sim) check(d *simNode, what string) {
+	if x, ok := s.digests[d.applied]; ok && x != d.digest {
+		s.fail("node %d %s another state at %d", d.id, what, d.applied)
+	}
+	s.digests[d.applied] = d.digest
+}
+
+func (s *sim) deliver(m Message) {
+	d := s.nodes[m.To.Instance-1]
+	if !d.up || s.cut[[2]balsampier.InstanceID{m.From.Instance, m.To.Instance}] {
+		return
+	}
+	d.n.Step(m)
+	s.drain(d)
+}
+
+// run lets the cluster work for some ticks; out of 100 messages, lose are
+// lost, lag are kept for later and repeat are repeated.
+func (s *sim) run(ticks int, lose, lag, repeat int) {
+	for range ticks {
+		s.now = s.now.Add(testElection / 10)
+		for _, d := range s.nodes {
+			if d.up {
+				d.n.Tick(s.now)
+				s.drain(d)
+			}
+		}
+		for range 4 {
+			s.pump(lose, lag, repeat)
+			for _, d := range s.nodes {
+				s.sync(d)
+			}
+		}
+	}
+}
+
+func (s *sim) pump(lose, lag, repeat int) {
+	ms := s.net
+	s.net = nil
+	s.rng.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	for _, m := range ms {
+		switch k := s.rng.IntN(100); {
+		case k < lose:
+		case k < lose+lag:
+			s.net = append(s.net, m)
+		case k < lose+lag+repeat:
+			s.deliver(m)
+			s.net = append(s.net, m)
+		default:
+			s.deliver(m)
+		}
+	}
+}
+
+func (s *sim) leader() *simNode {
+	var l *simNode
+	for _, d := range s.nodes {
+		if d.up && d.n.Status().Role == RoleLeader && (l == nil || d.n.Status().Term > l.n.Status().Term) {
+			l = d
+		}
+	}
+	return l
+}
+
+func (s *sim) propose(d *simNode) {
+	s.proposed++
+	if _, _, err := d.n.Propose([]byte(fmt.Sprint("p", s.proposed))); err == nil {
+		s.drain(d)
+	}
+}
+
+func (s *sim) read(d *simNode) {
+	k := ReadToken(len(s.reads) + 1)
+	s.reads[k] = s.highest
+	if d.n.Read(k) == nil {
+		s.drain(d)
+	}
+}
+
+// heal ends all faults.
+func (s *sim) heal() {
+	clear(s.cut)
+	for _, d := range s.nodes {
+		if !d.up {
+			s.start(d)
+		}
+	}
+}
+
+// stabilize ends all faults and expects that a new entry is committed at all
+// nodes, that all are voters, and that a read is answered.
+func (s *sim) stabilize() {
+	s.heal()
+	for range stabilizeTicks {
+		s.run(1, 0, 0, 0)
+		l := s.leader()
+		if l == nil || !s.intact() {
+			continue
+		}
+		s.propose(l)
+		s.run(4, 0, 0, 0)
+		answered := s.answered
+		s.read(l)
+		s.run(1, 0, 0, 0)
+		same := true
+		for _, d := range s.nodes {
+			same = same && d.applied == s.highest
+		}
+		if same && s.answered > answered {
+			return
+		}
+	}
+	for _, d := range s.nodes {
+		s.fail("no progress after the faults ended: %+v", d.n.Status())
+	}
+}
