feat: read the whole rule language without knowing zone data

Cause: parsing looked up zones, so that a daemon with other zone data could refuse an accepted file; a bad word hid the later faults of its line; a decree older than the table's start left transitions out of order.

Zone tables are compiled from zone data that is passed in, with one definition of a decree's instant for gaps and repeats.

Conclusion: zone names are checked where the tables are compiled.

--- a/interfaces.go
+++ b/interfaces.go
@@ -29,6 +29,13 @@
 		Uint64() uint64
 	}
 
+	// ZoneData yields the rules of time zones. Two instances may know
+	// different data; only the accepting one uses its own.
+	ZoneData interface {
+		// Location returns the zone with the IANA name n.
+		Location(n string) (*time.Location, error)
+	}
+
 	// FlowSteerer decides on the packets that a balancer receives.
 	FlowSteerer interface {
 		// Steer returns the verdict on p.
--- a/query/inforce/inforce.go
+++ b/query/inforce/inforce.go
@@ -1,4 +1,6 @@
-// Package inforce answers which rule is in force for a packet.
+// Package inforce answers which rule is in force for a packet. The first line
+// that matches wins, so that operators read a file from top to bottom and a
+// line never changes the meaning of those above it.
 package inforce
 
 import (
@@ -11,10 +13,19 @@
 	"github.com/balsampier/balsampier/query/zonetable"
 )
 
-const day = 24 * time.Hour
+const (
+	// MaxRules bounds the rules of one service address, and with them the
+	// cost of a lookup.
+	MaxRules = 256
+	// MaxPrefixes bounds the caller prefixes of all rules of one service
+	// address.
+	MaxPrefixes = 1024
+
+	day = 24 * time.Hour
+)
 
 type (
-	// Table is a compiled rule file. The first matching line wins.
+	// Table is a compiled rule file.
 	Table struct {
 		revision balsampier.Revision
 		// rules holds the rules of each service address in file order.
@@ -53,35 +64,50 @@
 
 // InForce returns the first rule that matches.
 func (t *Table) InForce(s netip.AddrPort, c netip.Addr, at time.Time) (balsampier.Rule, bool) {
-	rs := t.rules[s]
+	rs := t.of(s)
+	c = c.Unmap().WithZone("")
+	if i := first(rs, c, at); i >= 0 {
+		return rs[i].Rule, true
+	}
+	return balsampier.Rule{}, false
+}
+
+// of returns the rules of a service address, also in IPv4-mapped form.
+func (t *Table) of(s netip.AddrPort) []compiled {
+	return t.rules[netip.AddrPortFrom(s.Addr().Unmap().WithZone(""), s.Port())]
+}
+
+// first returns the index of the first rule that matches, or -1.
+func first(rs []compiled, c netip.Addr, at time.Time) int {
 	for i := range rs {
-		if rs[i].matches(c, at) {
-			return rs[i].Rule, true
+		if FromCaller(&rs[i].Rule, c) && rs[i].open(at) {
+			return i
 		}
 	}
-	return balsampier.Rule{}, false
+	return -1
 }
 
-func (c *compiled) matches(a netip.Addr, at time.Time) bool {
-	return contains(c.From, a.Unmap()) && (len(c.Windows) == 0 || open(c.Windows, c.zone, at))
+func (c *compiled) open(at time.Time) bool {
+	return len(c.Windows) == 0 || Open(c.Windows, zonetable.Local(c.zone, at))
 }
 
-func contains(ps []netip.Prefix, a netip.Addr) bool {
-	for _, p := range ps {
-		if p.Contains(a) {
+// FromCaller reports whether the rule applies to the caller.
+func FromCaller(r *balsampier.Rule, c netip.Addr) bool {
+	for _, p := range r.From {
+		if p.Contains(c) {
 			return true
 		}
 	}
 	return false
 }
 
-// open evaluates the windows as predicates on the wall clock at the instant.
-func open(ws []balsampier.Window, z balsampier.ZoneTable, at time.Time) bool {
-	l := at.UTC().Add(zonetable.Offset(z, at))
+// Open evaluates the windows as predicates on the wall clock l, carried in
+// UTC. How the clock came to show l does not matter: hours that are skipped
+// match nothing, and hours that are repeated match each time.
+func Open(ws []balsampier.Window, l time.Time) bool {
+	s := sinceMidnight(l)
 	d := l.Weekday()
 	before := (d + 6) % 7
-	s := time.Duration(l.Hour())*time.Hour + time.Duration(l.Minute())*time.Minute +
-		time.Duration(l.Second())*time.Second + time.Duration(l.Nanosecond())
 	for _, w := range ws {
 		end := w.End
 		if end <= w.Start {
@@ -96,3 +122,9 @@
 	}
 	return false
 }
+
+func sinceMidnight(l time.Time) time.Duration {
+	h, m, s := l.Clock()
+	return time.Duration(h)*time.Hour + time.Duration(m)*time.Minute +
+		time.Duration(s)*time.Second + time.Duration(l.Nanosecond())
+}
--- a/query/zonetable/zonetable.go
+++ b/query/zonetable/zonetable.go
@@ -1,5 +1,6 @@
 // Package zonetable compiles the offsets of time zones into tables, so that
-// all processes agree on them whatever zone data they were built with.
+// all processes agree on them whatever zone data they were built with. Only
+// the accepting instance compiles; everything else reads the tables.
 package zonetable
 
 import (
@@ -12,35 +13,83 @@
 	"github.com/balsampier/balsampier"
 )
 
-// Horizon is how far before and after its compilation a table reaches.
-const Horizon = 10 * 366 * 24 * time.Hour
+const (
+	// Horizon is how far ahead of its compilation a table follows the zone
+	// data. Behind it, the last offset holds.
+	Horizon = 10 * 366 * 24 * time.Hour
+	// History is how far back of its compilation a table reaches. Before it,
+	// the first offset holds.
+	History = 366 * 24 * time.Hour
+
+	// slack is more than any two offsets differ by.
+	slack = 48 * time.Hour
+)
+
+// Change is a clock change with the instant at which it takes place.
+type Change struct {
+	balsampier.ClockChange
+	// At is the first instant at which the clock reads Local or later.
+	At time.Time
+	// Before is the offset until At.
+	Before time.Duration
+}
 
 // Compile returns the table of every zone that the rules or the clock changes
-// name, valid for Horizon around t. A clock change replaces whatever the
-// built-in data says of its zone after it.
+// name, compiled at t from the built-in zone data. A clock change replaces
+// whatever the data says of its zone from its instant on.
 func Compile(rs []balsampier.Rule, ks []balsampier.ClockChange, t time.Time) ([]balsampier.ZoneTable, error) {
+	return CompileFrom(BuiltIn{}, rs, ks, t)
+}
+
+// CompileFrom is Compile with the zone data d.
+func CompileFrom(d balsampier.ZoneData, rs []balsampier.Rule, ks []balsampier.ClockChange, t time.Time) ([]balsampier.ZoneTable, error) {
 	var zs []balsampier.ZoneTable
-	for _, n := range names(rs, ks) {
-		l, err := time.LoadLocation(n)
+	for _, n := range Names(rs, ks) {
+		l, err := d.Location(n)
 		if err != nil {
-			return nil, trace.Wrap(err, "load zone %s", n)
-		}
-		ts := builtIn(l, t)
-		for _, k := range changesOf(ks, n) {
-			ts = override(ts, k)
+			return nil, trace.Wrap(balsampier.NewError(balsampier.KindInvalid, "compile zone "+n,
+				"use an IANA name that this instance knows, such as America/Lima", err))
 		}
-		zs = append(zs, balsampier.ZoneTable{Zone: n, Transitions: ts})
+		z, _ := zone(l, n, ks, t)
+		zs = append(zs, z)
 	}
 	return zs, nil
 }
 
+// Changes returns the clock changes of one zone with their instants, in the
+// order in which they take place.
+func Changes(d balsampier.ZoneData, name string, ks []balsampier.ClockChange, t time.Time) ([]Change, error) {
+	l, err := d.Location(name)
+	if err != nil {
+		return nil, trace.Wrap(err, "load zone %s", name)
+	}
+	_, cs := zone(l, name, ks, t)
+	return cs, nil
+}
+
 // Offset returns the offset east of UTC at time t.
 func Offset(z balsampier.ZoneTable, t time.Time) time.Duration {
 	i := sort.Search(len(z.Transitions), func(i int) bool { return z.Transitions[i].At.After(t) })
 	return z.Transitions[max(i-1, 0)].Offset
 }
 
-func names(rs []balsampier.Rule, ks []balsampier.ClockChange) []string {
+// Local returns t as the wall clock of the zone shows it, carried in UTC.
+func Local(z balsampier.ZoneTable, t time.Time) time.Time {
+	return t.UTC().Add(Offset(z, t))
+}
+
+// Next returns the first transition after t.
+func Next(z balsampier.ZoneTable, t time.Time) (balsampier.Transition, bool) {
+	for _, n := range z.Transitions[1:] {
+		if n.At.After(t) {
+			return n, true
+		}
+	}
+	return balsampier.Transition{}, false
+}
+
+// Names returns the zones that the rules or the clock changes name, sorted.
+func Names(rs []balsampier.Rule, ks []balsampier.ClockChange) []string {
 	var ns []string
 	for _, r := range rs {
 		if r.Zone != "" {
@@ -54,19 +103,27 @@
 	return slices.Compact(ns)
 }
 
-func changesOf(ks []balsampier.ClockChange, zone string) []balsampier.ClockChange {
-	var out []balsampier.ClockChange
+func zone(l *time.Location, name string, ks []balsampier.ClockChange, t time.Time) (balsampier.ZoneTable, []Change) {
+	var cs []Change
 	for _, k := range ks {
-		if k.Zone == zone {
-			out = append(out, k)
+		if k.Zone == name {
+			cs = append(cs, Change{ClockChange: k})
 		}
 	}
-	slices.SortStableFunc(out, func(a, b balsampier.ClockChange) int { return a.Local.Compare(b.Local) })
-	return out
+	slices.SortStableFunc(cs, func(a, b Change) int { return a.Local.Compare(b.Local) })
+	first := t.Add(-History)
+	if len(cs) > 0 && cs[0].Local.Add(-slack).Before(first) {
+		first = cs[0].Local.Add(-slack)
+	}
+	ts := builtIn(l, first, t.Add(Horizon))
+	for i := range cs {
+		ts = override(ts, &cs[i])
+	}
+	return balsampier.ZoneTable{Zone: name, Transitions: trim(ts, t.Add(-History))}, cs
 }
 
-func builtIn(l *time.Location, t time.Time) []balsampier.Transition {
-	at, until := t.Add(-Horizon).UTC().Truncate(time.Second), t.Add(Horizon)
+func builtIn(l *time.Location, first, until time.Time) []balsampier.Transition {
+	at := first.UTC().Truncate(time.Second)
 	ts := []balsampier.Transition{transition(at, l)}
 	for {
 		_, end := at.In(l).ZoneBounds()
@@ -83,17 +140,40 @@
 	return balsampier.Transition{At: t, Offset: time.Duration(s) * time.Second}
 }
 
-// override cuts ts at the instant of k and appends the decreed offset.
-func override(ts []balsampier.Transition, k balsampier.ClockChange) []balsampier.Transition {
+// override cuts ts at the first instant at which the clock reads c.Local or
+// later and appends the decreed offset. So a time that is skipped means the
+// instant of the skip, and a time that is repeated means its first pass.
+func override(ts []balsampier.Transition, c *Change) []balsampier.Transition {
 	for i, t := range ts {
-		at := k.Local.Add(-t.Offset)
-		last := i == len(ts)-1
-		if at.Before(t.At) && i > 0 {
-			at = t.At
+		c.At, c.Before = c.Local.Add(-t.Offset), t.Offset
+		if c.At.Before(t.At) {
+			c.At = t.At
 		}
-		if last || at.Before(ts[i+1].At) {
-			return append(slices.Clone(ts[:i+1]), balsampier.Transition{At: at, Offset: k.Offset})
+		if i == len(ts)-1 || c.At.Before(ts[i+1].At) {
+			if i > 0 && c.At.Equal(t.At) {
+				c.Before = ts[i-1].Offset
+			}
+			return append(ts[:i+1], balsampier.Transition{At: c.At, Offset: c.Offset})
 		}
 	}
 	return ts
 }
+
+// trim keeps the last transition of each instant, drops those that change
+// nothing, and those before first but for the one that holds then.
+func trim(ts []balsampier.Transition, first time.Time) []balsampier.Transition {
+	var out []balsampier.Transition
+	for i, t := range ts {
+		if i < len(ts)-1 && !ts[i+1].At.After(t.At) {
+			continue
+		}
+		if n := len(out); n > 0 && !t.At.After(first) {
+			out = out[:n-1]
+		}
+		if n := len(out); n > 0 && out[n-1].Offset == t.Offset {
+			continue
+		}
+		out = append(out, t)
+	}
+	return out
+}
--- a/rule.go
+++ b/rule.go
@@ -1,6 +1,7 @@
 package balsampier
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 )
@@ -23,6 +24,9 @@
 	Window struct {
 		// Days are the days on which the window starts.
 		Days Weekdays
+		// Column is where the hours stand in the line, from 1; zero where the
+		// window was not read from a file.
+		Column uint16
 		// Start is the time since local midnight, in [0, 24h).
 		Start time.Duration
 		// End is the time since local midnight, in (0, 24h]. A window with
@@ -50,6 +54,22 @@
 		Class Class
 		// Comment names who asked for the rule; never empty.
 		Comment string
+		// Columns places the parts of the rule in its line.
+		Columns RuleColumns
+	}
+
+	// RuleColumns are the columns at which the parts of a rule stand, from 1;
+	// zero for parts that were left out.
+	RuleColumns struct {
+		// Service, To, From and Zone each place the part of that name.
+		Service, To, From, Zone uint16
+	}
+
+	// ClockColumns are the columns at which the parts of a clock change
+	// stand, from 1.
+	ClockColumns struct {
+		// Zone, Local and Offset each place the part of that name.
+		Zone, Local, Offset uint16
 	}
 
 	// ClockChange overrides the offset of a zone from one local time on.
@@ -65,6 +85,8 @@
 		Offset time.Duration
 		// Comment names the decree; never empty.
 		Comment string
+		// Columns places the parts of the clock change in its line.
+		Columns ClockColumns
 	}
 
 	// Transition is one change of a zone's offset.
@@ -124,3 +146,16 @@
 
 // Has reports whether the set contains d.
 func (w Weekdays) Has(d time.Weekday) bool { return w&(1<<d) != 0 }
+
+// String returns the problem as one line for people.
+func (p Problem) String() string {
+	s := fmt.Sprintf("line %d, column %d: ", p.Line, p.Column)
+	if p.Warning {
+		s += "warning: "
+	}
+	s += p.Message
+	if p.Found != "" {
+		s += fmt.Sprintf(", found %q", p.Found)
+	}
+	return s + ": " + p.Remedy
+}
