--- /dev/null
+++ b/query/check/week.go
@@ -0,0 +1,106 @@
+package check
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	weekMinutes = 7 * 24 * 60
+	dayMinutes  = 24 * 60
+)
+
+// week is a set of minutes of the week, from Sunday 00:00 on.
+type week [weekMinutes/64 + 1]uint64
+
+// dayNames are in the order of time.Weekday.
+var dayNames = [...]string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"}
+
+// hoursOf returns the UTC minutes at which the rule's hours hold while the
+// offset is o.
+func hoursOf(r balsampier.Rule, o time.Duration) week {
+	var w week
+	if len(r.Windows) == 0 {
+		w.add(0, weekMinutes)
+		return w
+	}
+	for _, x := range r.Windows {
+		n := minutes(x.End - x.Start)
+		if n <= 0 {
+			n += dayMinutes
+		}
+		for d := range 7 {
+			if x.Days.Has(time.Weekday(d)) {
+				w.add(d*dayMinutes+minutes(x.Start-o), n)
+			}
+		}
+	}
+	return w
+}
+
+func minutes(d time.Duration) int { return int(d / time.Minute) }
+
+// wrap returns the minute of the week that m stands for.
+func wrap(m int) int { return (m%weekMinutes + weekMinutes) % weekMinutes }
+
+// add puts n minutes from m on into the set, across the end of the week.
+func (w *week) add(m, n int) {
+	m = wrap(m)
+	for n > 0 {
+		k := min(n, 64-m%64, weekMinutes-m)
+		w[m/64] |= (1<<k - 1) << (m % 64)
+		m, n = wrap(m+k), n-k
+	}
+}
+
+func (w *week) has(m int) bool {
+	m = wrap(m)
+	return w[m/64]&(1<<(m%64)) != 0
+}
+
+func (w *week) join(o *week) {
+	for i := range w {
+		w[i] |= o[i]
+	}
+}
+
+func (w *week) covers(o *week) bool {
+	for i := range w {
+		if o[i]&^w[i] != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *week) meets(o *week) bool {
+	for i := range w {
+		if o[i]&w[i] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// gap returns the first hours of the local week that the set lacks, for the
+// offset o.
+func (w *week) gap(o time.Duration) (string, bool) {
+	shift := minutes(o)
+	for m := range weekMinutes {
+		if w.has(m-shift) || !w.has(m-1-shift) {
+			continue
+		}
+		end := m
+		for !w.has(end - shift) {
+			end++
+		}
+		return minuteName(m) + " to " + minuteName(wrap(end)), true
+	}
+	return "", false
+}
+
+func minuteName(m int) string {
+	return fmt.Sprintf("%s %02d:%02d", dayNames[m/dayMinutes], m%dayMinutes/60, m%60)
+}
