test: prove the rule in force against a scan of each minute

Cause: hours, decrees, gaps and repeats interact, and every daemon has to switch at the same instant whatever zone data it has.

Lookups work on Unix seconds.

--- a/query/inforce/inforce.go
+++ b/query/inforce/inforce.go
@@ -5,12 +5,12 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/balsampier/balsampier"
-	"github.com/balsampier/balsampier/query/zonetable"
 )
 
 const (
@@ -21,7 +21,8 @@
 	// address.
 	MaxPrefixes = 1024
 
-	day = 24 * time.Hour
+	day           = 24 * time.Hour
+	secondsPerDay = int64(day / time.Second)
 )
 
 type (
@@ -36,6 +37,21 @@
 		balsampier.Rule
 		// zone is the table of Rule.Zone; empty when the rule has no windows.
 		zone balsampier.ZoneTable
+		// seconds is zone in the form that lookups read; nil like it.
+		seconds *secondTable
+	}
+
+	// secondTable holds a zone's transitions as Unix seconds and the offsets
+	// in seconds from each of them on. Rules share the one of their zone.
+	secondTable struct {
+		from, offset []int64
+	}
+
+	// moment is a wall-clock time within the week.
+	moment struct {
+		day time.Weekday
+		// since is the time since midnight on the clock, in [0, 24h).
+		since time.Duration
 	}
 )
 
@@ -47,6 +63,10 @@
 	for _, z := range zs {
 		zones[z.Zone] = z
 	}
+	seconds := make(map[string]*secondTable, len(zs))
+	for _, z := range zs {
+		seconds[z.Zone] = newSecondTable(z)
+	}
 	t := &Table{revision: r, rules: make(map[netip.AddrPort][]compiled)}
 	for _, rule := range rs {
 		z, ok := zones[rule.Zone]
@@ -54,7 +74,7 @@
 			return nil, trace.Wrap(balsampier.NewError(balsampier.KindInvalid, "compile rules",
 				"submit the file again, so that its zones are compiled", nil), "line %d, zone %q", rule.Line, rule.Zone)
 		}
-		t.rules[rule.To] = append(t.rules[rule.To], compiled{Rule: rule, zone: z})
+		t.rules[rule.To] = append(t.rules[rule.To], compiled{Rule: rule, zone: z, seconds: seconds[rule.Zone]})
 	}
 	return t, nil
 }
@@ -88,7 +108,35 @@
 }
 
 func (c *compiled) open(at time.Time) bool {
-	return len(c.Windows) == 0 || Open(c.Windows, zonetable.Local(c.zone, at))
+	return len(c.Windows) == 0 || open(c.Windows, c.seconds.moment(at))
+}
+
+func newSecondTable(z balsampier.ZoneTable) *secondTable {
+	s := &secondTable{}
+	for _, t := range z.Transitions {
+		s.from = append(s.from, t.At.Unix())
+		s.offset = append(s.offset, int64(t.Offset/time.Second))
+	}
+	return s
+}
+
+// moment returns what the wall clock shows at t. Windows are whole minutes,
+// so that fractions of a second do not matter.
+func (s *secondTable) moment(t time.Time) moment {
+	u := t.Unix()
+	i, ok := slices.BinarySearch(s.from, u)
+	if !ok {
+		i = max(i-1, 0)
+	}
+	l := u + s.offset[i]
+	d := l / secondsPerDay
+	if l%secondsPerDay < 0 {
+		d--
+	}
+	return moment{
+		day:   time.Weekday(((d+int64(time.Thursday))%7 + 7) % 7),
+		since: time.Duration(l-d*secondsPerDay) * time.Second,
+	}
 }
 
 // FromCaller reports whether the rule applies to the caller.
@@ -105,18 +153,18 @@
 // UTC. How the clock came to show l does not matter: hours that are skipped
 // match nothing, and hours that are repeated match each time.
 func Open(ws []balsampier.Window, l time.Time) bool {
-	s := sinceMidnight(l)
-	d := l.Weekday()
-	before := (d + 6) % 7
-	for _, w := range ws {
-		end := w.End
-		if end <= w.Start {
-			end += day
-		}
-		if w.Days.Has(d) && s >= w.Start && s < end {
+	return open(ws, moment{day: l.Weekday(), since: sinceMidnight(l)})
+}
+
+func open(ws []balsampier.Window, m moment) bool {
+	before := (m.day + 6) % 7
+	for i := range ws {
+		w := &ws[i]
+		over := w.End <= w.Start
+		if w.Days.Has(m.day) && m.since >= w.Start && (over || m.since < w.End) {
 			return true
 		}
-		if w.Days.Has(before) && s+day >= w.Start && s+day < end {
+		if over && w.Days.Has(before) && m.since < w.End {
 			return true
 		}
 	}
--- /dev/null
+++ b/query/inforce/oracle_test.go
@@ -0,0 +1,107 @@
+package inforce_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+// oracle answers by scanning a time.Location minute by minute.
+type oracle struct {
+	rules []balsampier.Rule
+	// decrees holds the instant of each change of a zone, ascending.
+	decrees map[string][]decree
+	// locations holds the zones that were loaded.
+	locations map[string]*time.Location
+}
+
+type decree struct {
+	at     time.Time
+	offset time.Duration
+}
+
+// newOracle scans each decree's zone from the first minute before it.
+func newOracle(rs []balsampier.Rule, ks []balsampier.ClockChange) *oracle {
+	o := &oracle{rules: rs, decrees: map[string][]decree{}, locations: map[string]*time.Location{}}
+	ks = slices.Clone(ks)
+	slices.SortFunc(ks, func(a, b balsampier.ClockChange) int { return a.Local.Compare(b.Local) })
+	for _, k := range ks {
+		t := k.Local.Add(-20 * time.Hour)
+		for o.wall(k.Zone, t) < k.Local.Format("2006-01-02 15:04") {
+			t = t.Add(time.Minute)
+		}
+		o.decrees[k.Zone] = append(o.decrees[k.Zone], decree{at: t, offset: k.Offset})
+	}
+	return o
+}
+
+// at returns the time of day and date that the wall clock shows.
+func (o *oracle) at(zone string, t time.Time) time.Time {
+	l := o.locations[zone]
+	if l == nil {
+		var err error
+		if l, err = time.LoadLocation(zone); err != nil {
+			panic(err)
+		}
+		o.locations[zone] = l
+	}
+	for _, d := range o.decrees[zone] {
+		if !t.Before(d.at) {
+			l = time.FixedZone("", int(d.offset.Seconds()))
+		}
+	}
+	return t.In(l)
+}
+
+func (o *oracle) wall(zone string, t time.Time) string {
+	return o.at(zone, t).Format("2006-01-02 15:04")
+}
+
+// line returns the line in force, or 0.
+func (o *oracle) line(s netip.AddrPort, c netip.Addr, t time.Time) int {
+	for _, r := range o.rules {
+		if r.To == s && slices.ContainsFunc(r.From, func(p netip.Prefix) bool { return p.Contains(c) }) && o.open(r, t) {
+			return r.Line
+		}
+	}
+	return 0
+}
+
+func (o *oracle) open(r balsampier.Rule, t time.Time) bool {
+	if len(r.Windows) == 0 {
+		return true
+	}
+	l := o.at(r.Zone, t)
+	now := l.Format("15:04")
+	today := strings.ToLower(l.Format("Mon"))
+	y, m, d := l.Date()
+	yesterday := strings.ToLower(time.Date(y, m, d-1, 12, 0, 0, 0, time.UTC).Format("Mon"))
+	for _, w := range r.Windows {
+		start, end := clockText(w.Start), clockText(w.End)
+		over := end <= start
+		if named(w.Days, today) && now >= start && (over || now < end) {
+			return true
+		}
+		if named(w.Days, yesterday) && over && now < end {
+			return true
+		}
+	}
+	return false
+}
+
+func named(d balsampier.Weekdays, n string) bool {
+	for i, s := range []string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"} {
+		if s == n {
+			return d&(1<<i) != 0
+		}
+	}
+	return false
+}
+
+func clockText(d time.Duration) string {
+	return fmt.Sprintf("%02d:%02d", int(d.Hours()), int(d.Minutes())%60)
+}
