--- a/query/inforce/inforce.go
+++ b/query/inforce/inforce.go
@@ -1,20 +1,32 @@
-// Package inforce answers which rule is in force for a packet.
+// Package inforce answers which rule is in force for a packet. The first line
+// that matches wins, so that operators read a file from top to bottom and a
+// line never changes the meaning of those above it.
 package inforce
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/balsampier/balsampier"
-	"github.com/balsampier/balsampier/query/zonetable"
 )
 
-const day = 24 * time.Hour
+const (
+	// MaxRules bounds the rules of one service address, and with them the
+	// cost of a lookup.
+	MaxRules = 256
+	// MaxPrefixes bounds the caller prefixes of all rules of one service
+	// address.
+	MaxPrefixes = 1024
+
+	day           = 24 * time.Hour
+	secondsPerDay = int64(day / time.Second)
+)
 
 type (
-	// Table is a compiled rule file. The first matching line wins.
+	// Table is a compiled rule file.
 	Table struct {
 		revision balsampier.Revision
 		// rules holds the rules of each service address in file order.
@@ -25,6 +37,21 @@
 		balsampier.Rule
 		// zone is the table of Rule.Zone; empty when the rule has no windows.
 		zone balsampier.ZoneTable
+		// seconds is zone in the form that lookups read; nil like it.
+		seconds *secondTable
+	}
+
+	// secondTable holds a zone's transitions as Unix seconds and the offsets
+	// in seconds from each of them on. Rules share the one of their zone.
+	secondTable struct {
+		from, offset []int64
+	}
+
+	// moment is a wall-clock time within the week.
+	moment struct {
+		day time.Weekday
+		// since is the time since midnight on the clock, in [0, 24h).
+		since time.Duration
 	}
 )
 
@@ -36,6 +63,10 @@
 	for _, z := range zs {
 		zones[z.Zone] = z
 	}
+	seconds := make(map[string]*secondTable, len(zs))
+	for _, z := range zs {
+		seconds[z.Zone] = newSecondTable(z)
+	}
 	t := &Table{revision: r, rules: make(map[netip.AddrPort][]compiled)}
 	for _, rule := range rs {
 		z, ok := zones[rule.Zone]
@@ -43,7 +74,7 @@
 			return nil, trace.Wrap(balsampier.NewError(balsampier.KindInvalid, "compile rules",
 				"submit the file again, so that its zones are compiled", nil), "line %d, zone %q", rule.Line, rule.Zone)
 		}
-		t.rules[rule.To] = append(t.rules[rule.To], compiled{Rule: rule, zone: z})
+		t.rules[rule.To] = append(t.rules[rule.To], compiled{Rule: rule, zone: z, seconds: seconds[rule.Zone]})
 	}
 	return t, nil
 }
@@ -53,46 +84,95 @@
 
 // InForce returns the first rule that matches.
 func (t *Table) InForce(s netip.AddrPort, c netip.Addr, at time.Time) (balsampier.Rule, bool) {
-	rs := t.rules[s]
+	rs := t.of(s)
+	c = c.Unmap().WithZone("")
+	if i := first(rs, c, at); i >= 0 {
+		return rs[i].Rule, true
+	}
+	return balsampier.Rule{}, false
+}
+
+// of returns the rules of a service address, also in IPv4-mapped form.
+func (t *Table) of(s netip.AddrPort) []compiled {
+	return t.rules[netip.AddrPortFrom(s.Addr().Unmap().WithZone(""), s.Port())]
+}
+
+// first returns the index of the first rule that matches, or -1.
+func first(rs []compiled, c netip.Addr, at time.Time) int {
 	for i := range rs {
-		if rs[i].matches(c, at) {
-			return rs[i].Rule, true
+		if FromCaller(&rs[i].Rule, c) && rs[i].open(at) {
+			return i
 		}
 	}
-	return balsampier.Rule{}, false
+	return -1
+}
+
+func (c *compiled) open(at time.Time) bool {
+	return len(c.Windows) == 0 || open(c.Windows, c.seconds.moment(at))
 }
 
-func (c *compiled) matches(a netip.Addr, at time.Time) bool {
-	return contains(c.From, a.Unmap()) && (len(c.Windows) == 0 || open(c.Windows, c.zone, at))
+func newSecondTable(z balsampier.ZoneTable) *secondTable {
+	s := &secondTable{}
+	for _, t := range z.Transitions {
+		s.from = append(s.from, t.At.Unix())
+		s.offset = append(s.offset, int64(t.Offset/time.Second))
+	}
+	return s
+}
+
+// moment returns what the wall clock shows at t. Windows are whole minutes,
+// so that fractions of a second do not matter.
+func (s *secondTable) moment(t time.Time) moment {
+	u := t.Unix()
+	i, ok := slices.BinarySearch(s.from, u)
+	if !ok {
+		i = max(i-1, 0)
+	}
+	l := u + s.offset[i]
+	d := l / secondsPerDay
+	if l%secondsPerDay < 0 {
+		d--
+	}
+	return moment{
+		day:   time.Weekday(((d+int64(time.Thursday))%7 + 7) % 7),
+		since: time.Duration(l-d*secondsPerDay) * time.Second,
+	}
 }
 
-func contains(ps []netip.Prefix, a netip.Addr) bool {
-	for _, p := range ps {
-		if p.Contains(a) {
+// FromCaller reports whether the rule applies to the caller.
+func FromCaller(r *balsampier.Rule, c netip.Addr) bool {
+	for _, p := range r.From {
+		if p.Contains(c) {
 			return true
 		}
 	}
 	return false
 }
 
-// open evaluates the windows as predicates on the wall clock at the instant.
-func open(ws []balsampier.Window, z balsampier.ZoneTable, at time.Time) bool {
-	l := at.UTC().Add(zonetable.Offset(z, at))
-	d := l.Weekday()
-	before := (d + 6) % 7
-	s := time.Duration(l.Hour())*time.Hour + time.Duration(l.Minute())*time.Minute +
-		time.Duration(l.Second())*time.Second + time.Duration(l.Nanosecond())
-	for _, w := range ws {
-		end := w.End
-		if end <= w.Start {
-			end += day
-		}
-		if w.Days.Has(d) && s >= w.Start && s < end {
+// Open evaluates the windows as predicates on the wall clock l, carried in
+// UTC. How the clock came to show l does not matter: hours that are skipped
+// match nothing, and hours that are repeated match each time.
+func Open(ws []balsampier.Window, l time.Time) bool {
+	return open(ws, moment{day: l.Weekday(), since: sinceMidnight(l)})
+}
+
+func open(ws []balsampier.Window, m moment) bool {
+	before := (m.day + 6) % 7
+	for i := range ws {
+		w := &ws[i]
+		over := w.End <= w.Start
+		if w.Days.Has(m.day) && m.since >= w.Start && (over || m.since < w.End) {
 			return true
 		}
-		if w.Days.Has(before) && s+day >= w.Start && s+day < end {
+		if over && w.Days.Has(before) && m.since < w.End {
 			return true
 		}
 	}
 	return false
 }
+
+func sinceMidnight(l time.Time) time.Duration {
+	h, m, s := l.Clock()
+	return time.Duration(h)*time.Hour + time.Duration(m)*time.Minute +
+		time.Duration(s)*time.Second + time.Duration(l.Nanosecond())
+}
