feat: eject servers by own evidence and keep load counts apart from claims

Cause: health and load endpoints lag or mislead. Change: loadview keeps an agent's own counts, the placements since, and what servers claim; only the first two reach placement. eject needs failures that this instance saw, keeps at most a third of a service out, and brings servers back by probation. The state machine of flows makes 200 planned changes in a row during its flows, which an edit had left out.

--- /dev/null
+++ b/command/eject/eject_test.go
@@ -0,0 +1,77 @@
+package eject_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/eject"
+	"github.com/balsampier/balsampier/query/loadview"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestEject checks that claims eject nobody, that at most a third is out, and
+// that every server comes back once it serves.
+func TestEject(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "servers")
+		at := time.Date(2027, 3, 1, 12, 0, 0, 0, time.UTC)
+		e, v := eject.New(eject.DefaultSettings()), loadview.New()
+		bad := make([]bool, n)
+		serve := func(i int) {
+			id := balsampier.InstanceID(i + 1)
+			if e.Allows(id, v.Observed(id)) {
+				v.Begin(id)
+				v.End(id, time.Millisecond, bad[i])
+			}
+			before := e.State(id)
+			s := e.Observe(id, v.Observed(id), n, at)
+			if before == eject.In && s == eject.Out && !bad[i] {
+				t.Fatalf("server %d was ejected while it served", i)
+			}
+		}
+		index := rapid.IntRange(0, n-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				out := 0
+				for i := range n {
+					if e.State(balsampier.InstanceID(i+1)) != eject.In {
+						out++
+					}
+				}
+				if out > n/eject.MaxPart {
+					t.Fatalf("%d of %d servers are out", out, n)
+				}
+			},
+			"turn":  func(t *rapid.T) { i := index.Draw(t, "server"); bad[i] = !bad[i] },
+			"serve": func(t *rapid.T) { i := index.Draw(t, "server"); serve(i); serve(i); serve(i) },
+			"claim": func(t *rapid.T) {
+				v.Claim(balsampier.InstanceID(index.Draw(t, "server")+1), balsampier.Load{Running: 1 << 20, At: at})
+			},
+			"wait": func(*rapid.T) { at = at.Add(time.Second) },
+		})
+		for i := range n {
+			bad[i] = false
+		}
+		for range 10 {
+			at = at.Add(time.Minute)
+			for i := range n {
+				serve(i)
+			}
+		}
+		for i := range n {
+			if s := e.State(balsampier.InstanceID(i + 1)); s != eject.In {
+				t.Fatalf("server %d serves and is in state %d", i, s)
+			}
+		}
+	})
+}
--- a/command/place/flows_test.go
+++ b/command/place/flows_test.go
@@ -610,12 +610,11 @@
 			if len(w.tables) > 100 || rapid.IntRange(0, 9).Draw(t, "rare") > 0 {
 				t.Skip("rare")
 			}
-			for i := range 200 {
-				a := w.agents[len(w.agents)-1-i%2]
-				a.member.Slots++
-				w.publish()
-				w.settle()
+			for range 200 {
+				w.change(t)
 			}
+			w.settle()
+			w.whole()
 		},
 	}
 }
--- /dev/null
+++ b/query/loadview/loadview.go
@@ -0,0 +1,148 @@
+// Package loadview answers what is known of the load of agents. The agents'
+// own counts and the own placements since then make up the load; what backend
+// servers claim is kept apart and moves nothing.
+package loadview
+
+import (
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// latencyWeight is the part of the average that the newest latency makes.
+	latencyWeight = 0.1
+	// maxRecent bounds the remembered placements of an agent.
+	maxRecent = 4096
+)
+
+type (
+	// View holds the loads as one instance knows them.
+	View struct {
+		agents map[balsampier.InstanceID]*agent
+	}
+
+	// Observed is what this instance itself saw of an agent's server.
+	Observed struct {
+		// InFlight counts requests that have no outcome yet; never negative.
+		InFlight int
+		// Latency is a moving average of finished requests; zero before the
+		// first.
+		Latency time.Duration
+		// Succeeded and Failed count finished requests.
+		Succeeded, Failed uint64
+		// FailedInTurn counts failures since the last success.
+		FailedInTurn int
+	}
+
+	agent struct {
+		counted balsampier.Load
+		claimed balsampier.Load
+		seen    Observed
+		// recent holds the own placements after counted.At, by age.
+		recent []time.Time
+	}
+)
+
+var _ balsampier.LoadView = (*View)(nil)
+
+// New returns a view that knows nothing.
+func New() *View { return &View{agents: make(map[balsampier.InstanceID]*agent)} }
+
+// Load returns the agent's own count, with the own placements since then.
+func (v *View) Load(i balsampier.InstanceID) (balsampier.Load, bool) {
+	a := v.agents[i]
+	if a == nil || a.counted.At.IsZero() {
+		return balsampier.Load{}, false
+	}
+	l := a.counted
+	l.Connections += len(a.recent)
+	return l, true
+}
+
+// Count takes in what an agent counted. Older counts are ignored.
+func (v *View) Count(i balsampier.InstanceID, l balsampier.Load) {
+	a := v.agent(i)
+	if l.At.Before(a.counted.At) {
+		return
+	}
+	a.counted = l
+	n := 0
+	for n < len(a.recent) && !a.recent[n].After(l.At) {
+		n++
+	}
+	a.recent = a.recent[n:]
+}
+
+// Placed notes that a flow was given to the agent at t.
+func (v *View) Placed(i balsampier.InstanceID, t time.Time) {
+	a := v.agent(i)
+	if len(a.recent) == maxRecent {
+		a.recent = a.recent[1:]
+	}
+	a.recent = append(a.recent, t)
+}
+
+// Claim takes in what the backend server says of itself.
+func (v *View) Claim(i balsampier.InstanceID, l balsampier.Load) { v.agent(i).claimed = l }
+
+// Misleads reports whether the server's claim is off the agent's count by more
+// than half and more than its slots.
+func (v *View) Misleads(i balsampier.InstanceID) bool {
+	a := v.agents[i]
+	if a == nil || a.claimed.At.IsZero() || a.counted.At.IsZero() {
+		return false
+	}
+	claimed, counted := work(a.claimed), work(a.counted)
+	d := max(claimed, counted) - min(claimed, counted)
+	return d > a.counted.Slots && 2*d > max(claimed, counted)
+}
+
+// Begin notes that a request was sent to the agent's server.
+func (v *View) Begin(i balsampier.InstanceID) { v.agent(i).seen.InFlight++ }
+
+// End notes the outcome of a request after d.
+func (v *View) End(i balsampier.InstanceID, d time.Duration, failed bool) {
+	s := &v.agent(i).seen
+	s.InFlight = max(0, s.InFlight-1)
+	if failed {
+		s.Failed++
+		s.FailedInTurn++
+		return
+	}
+	s.Succeeded++
+	s.FailedInTurn = 0
+	if s.Latency == 0 {
+		s.Latency = d
+		return
+	}
+	s.Latency += time.Duration(latencyWeight * float64(d-s.Latency))
+}
+
+// Observed returns what this instance saw of the agent's server.
+func (v *View) Observed(i balsampier.InstanceID) Observed {
+	if a := v.agents[i]; a != nil {
+		return a.seen
+	}
+	return Observed{}
+}
+
+// Forget drops the agents that are not alive.
+func (v *View) Forget(alive func(balsampier.InstanceID) bool) {
+	for i := range v.agents {
+		if !alive(i) {
+			delete(v.agents, i)
+		}
+	}
+}
+
+func (v *View) agent(i balsampier.InstanceID) *agent {
+	a := v.agents[i]
+	if a == nil {
+		a = &agent{}
+		v.agents[i] = a
+	}
+	return a
+}
+
+func work(l balsampier.Load) int { return l.Connections + l.Running + l.Queued }
