feat: measure imbalance and the cost of steering

Change: bench/flows simulates the four services under own placement, table hash, round robin and the least-load equation with its deviation, and times steering at 30 and 13,000 agents.

--- /dev/null
+++ b/bench/flows/flows.go
@@ -0,0 +1,75 @@
+// Package flows measures how flows are steered and placed, and prints one line
+// for each measure.
+package flows
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/place"
+)
+
+const (
+	maxImbalance    = 1.10
+	maxSteeringCost = time.Microsecond
+	maxSteeringRate = 2.0
+)
+
+// Run prints the measures. All but the cost of steering depend on the seed
+// alone.
+func Run(w io.Writer, seed uint64) error {
+	if err := printImbalance(w, seed); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := printBroken(w, seed); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(printSteering(w))
+}
+
+func printImbalance(w io.Writer, seed uint64) error {
+	sites := []site{
+		{"pleat-status", 7, 3}, {"pattern-sheets", 4, 3}, {"reservas", 7, 5}, {"galeria", 3, 5},
+	}
+	for _, s := range sites {
+		name := "imbalance." + string(s.name)
+		v := newSimulation(s, seed).run(&placed{place.DefaultSettings()})
+		if err := printBounded(w, name, v, maxImbalance); err != nil {
+			return err
+		}
+		others := []struct {
+			name string
+			policy
+		}{{"tableHash", hashed{}}, {"roundRobin", &rotating{}}, {"leastLoad", &leastLoad{}}}
+		for _, o := range others {
+			if err := printBaseline(w, name, o.name, newSimulation(s, seed).run(o.policy)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func printSteering(w io.Writer) error {
+	few, many := steering(30, 10), steering(13000, 4700)
+	if err := printBounded(w, "steeringCostSeconds", many.Seconds(), maxSteeringCost.Seconds()); err != nil {
+		return err
+	}
+	return printBounded(w, "steeringCostRatio", float64(many)/float64(few), maxSteeringRate)
+}
+
+func printBounded(w io.Writer, name string, v, bound float64) error {
+	_, err := fmt.Fprintf(w, "measure=%s value=%.4g bound=%.4g ok=%t\n", name, v, bound, v <= bound)
+	return trace.Wrap(err)
+}
+
+func printBaseline(w io.Writer, name, baseline string, v float64) error {
+	_, err := fmt.Fprintf(w, "measure=%s.%s value=%.4g\n", name, baseline, v)
+	return trace.Wrap(err)
+}
+
+func memberName(s balsampier.ServiceName, i int) string { return fmt.Sprintf("%s%d", s, i) }
--- /dev/null
+++ b/bench/flows/steering.go
@@ -0,0 +1,76 @@
+package flows
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/query/inforce"
+	"github.com/balsampier/balsampier/query/steer"
+)
+
+const (
+	// steerRounds is how often the cost is measured; the least counts.
+	steerRounds = 9
+	// steerPackets is how many packets a round steers.
+	steerPackets = 200_000
+)
+
+// steering returns the cost of one decision.
+func steering(agents, services int) time.Duration {
+	t := steer.New(allRules(services), fleet(agents, services))
+	ps := make([]balsampier.Packet, 4096)
+	for i := range ps {
+		c := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(i >> 8)}), uint16(i))
+		s := serviceAddr(i % services)
+		ps[i] = balsampier.Packet{Caller: c, ServiceAddr: s, Flow: balsampier.NewFlowKey(c, s, nil), Opening: true}
+	}
+	k := clock.System{}
+	least := time.Duration(1<<63 - 1)
+	for range steerRounds {
+		start := k.Now()
+		for i := range steerPackets {
+			if t.Steer(ps[i%len(ps)]).Action != balsampier.ActionForward {
+				return least
+			}
+		}
+		least = min(least, k.Now().Sub(start))
+	}
+	return least / steerPackets
+}
+
+func serviceAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443)
+}
+
+func allRules(services int) balsampier.RuleTable {
+	rs := make([]balsampier.Rule, services)
+	for i := range rs {
+		rs[i] = balsampier.Rule{
+			Service: balsampier.ServiceName(memberName("service", i)), To: serviceAddr(i),
+			From: []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0")},
+		}
+	}
+	t, err := inforce.Compile(1, rs, nil)
+	if err != nil {
+		panic(fmt.Sprintf("compile rules without windows: %v", err))
+	}
+	return t
+}
+
+func fleet(agents, services int) balsampier.View {
+	v := balsampier.View{Epoch: 1}
+	for i := range agents {
+		n := memberName("agent", i)
+		v.Members = append(v.Members, balsampier.Member{
+			ID: balsampier.NewInstanceID(n), Name: n, Role: balsampier.RoleAgent, Incarnation: 1, Slots: 3,
+			Service: balsampier.ServiceName(memberName("service", i%services)), Addr: serviceAddr(i),
+		})
+	}
+	slices.SortFunc(v.Members, func(a, b balsampier.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
