perf: keep what verdicts need beside the pool's agents

Cause: each decision at 13,000 agents missed the cache on pool, places and member in turn. Change: pools hold the targets side by side. Imbalance is the mean of one sample a second, as a time average hid what happens between.

--- a/bench/flows/flows.go
+++ b/bench/flows/flows.go
@@ -42,11 +42,19 @@
 			return err
 		}
 		others := []struct {
-			name string
-			policy
-		}{{"tableHash", hashed{}}, {"roundRobin", &rotating{}}, {"leastLoad", &leastLoad{}}}
+			name   string
+			honest bool
+			policy policy
+		}{
+			{"tableHash", false, hashed{}},
+			{"roundRobin", false, &rotating{}},
+			{"leastLoad", false, &leastLoad{}},
+			{"leastLoadHonest", true, &leastLoad{}},
+		}
 		for _, o := range others {
-			if err := printBaseline(w, name, o.name, newSimulation(s, seed).run(o.policy)); err != nil {
+			m := newSimulation(s, seed)
+			m.honest = o.honest
+			if err := printBaseline(w, name, o.name, m.run(o.policy)); err != nil {
 				return err
 			}
 		}
--- a/bench/flows/imbalance.go
+++ b/bench/flows/imbalance.go
@@ -59,9 +59,10 @@
 		// views holds what each home knows.
 		views []*loadview.View
 		ends  endings
-		// sum and samples average the open flows of each server.
-		sum     []float64
-		samples float64
+		// sum adds up the greatest over the mean load of the samples.
+		sum, samples float64
+		// honest is true when no server lies.
+		honest bool
 	}
 
 	// ending is the end of a flow.
@@ -92,7 +93,7 @@
 	m := &simulation{
 		site: s, x: rand.New(rand.NewPCG(seed, uint64(s.hosts))),
 		now:  time.Date(2027, 3, 1, 12, 0, 0, 0, time.UTC),
-		open: make([]int, s.hosts), claimed: make([]int, s.hosts), sum: make([]float64, s.hosts),
+		open: make([]int, s.hosts), claimed: make([]int, s.hosts),
 	}
 	for i := range s.hosts {
 		n := fmt.Sprintf("%s%d", s.name, i)
@@ -105,7 +106,8 @@
 	return m
 }
 
-// run simulates the service and returns the greatest over the mean load.
+// run simulates the service and returns the greatest over the mean load, as
+// the mean of one sample a second.
 func (s *simulation) run(p policy) float64 {
 	start, counted, sampled := s.now, time.Time{}, time.Time{}
 	rate := float64(meanFlows*s.hosts) / meanLength.Seconds()
@@ -128,7 +130,7 @@
 		s.open[i]++
 		heap.Push(&s.ends, ending{at: s.now.Add(s.length()), server: i})
 	}
-	return s.imbalance()
+	return s.sum / s.samples
 }
 
 func (s *simulation) finish() {
@@ -151,6 +153,9 @@
 			v.Count(m.ID, l)
 		}
 	}
+	if s.honest {
+		return
+	}
 	s.claimed[0] = 0
 	for _, v := range s.views {
 		v.Claim(s.members[0].ID, balsampier.Load{At: s.now})
@@ -158,9 +163,12 @@
 }
 
 func (s *simulation) sample() {
-	for i, n := range s.open {
-		s.sum[i] += float64(n)
+	top, all := 0, 0
+	for _, n := range s.open {
+		top = max(top, n)
+		all += n
 	}
+	s.sum += float64(top*s.hosts) / float64(all)
 	s.samples++
 }
 
@@ -171,15 +179,6 @@
 	return time.Duration(min(d, float64(maxLength)))
 }
 
-func (s *simulation) imbalance() float64 {
-	top, all := 0.0, 0.0
-	for _, n := range s.sum {
-		top = max(top, n)
-		all += n
-	}
-	return top * float64(s.hosts) / all
-}
-
 type (
 	// placed is the policy of command/place.
 	placed struct{ settings place.Settings }
--- a/query/steer/pool.go
+++ b/query/steer/pool.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/balsampier/balsampier"
@@ -23,24 +24,37 @@
 type pool struct {
 	// ids are sorted, without repeats; fewer than vacant.
 	ids []balsampier.InstanceID
-	// at holds the place in the view's members for each of ids.
-	at []int32
+	// targets holds what a verdict needs of each of ids, side by side.
+	targets []target
 	// owners holds the place in ids of each slot's owner; nil up to scanLimit.
 	owners []uint16
 }
 
+// target is an agent as it stands in verdicts.
+type target struct {
+	holder  balsampier.Holder
+	addr    netip.AddrPort
+	service balsampier.ServiceName
+}
+
 // slotOf returns the slot of a key.
 func slotOf(k balsampier.FlowKey) uint64 { return k.Lo & (slotCount - 1) }
 
-// owner returns the place of the owner of slot s in the view's members.
-func (p *pool) owner(s uint64) (int32, bool) {
-	if p == nil || len(p.ids) == 0 {
-		return 0, false
+// owner returns the owner of slot s; nil without one.
+func (p *pool) owner(s uint64) *target {
+	if p == nil || len(p.targets) == 0 {
+		return nil
 	}
 	if p.owners != nil {
-		return p.at[p.owners[s]], true
+		return &p.targets[p.owners[s]]
 	}
-	return p.at[scan(p.ids, s)], true
+	best, top := &p.targets[0], uint64(0)
+	for i := range p.targets {
+		if x := score(p.targets[i].holder.Instance, s); x > top {
+			best, top = &p.targets[i], x
+		}
+	}
+	return best
 }
 
 // fill caches the owners of a large pool. The old pool, where it has a cache,
--- a/query/steer/steer.go
+++ b/query/steer/steer.go
@@ -71,20 +71,20 @@
 		return
 	}
 	t.agents[m.ID] = i
-	t.enter(Any, m.ID, i)
+	t.enter(Any, m)
 	if !m.Draining {
-		t.enter(m.Service, m.ID, i)
+		t.enter(m.Service, m)
 	}
 }
 
-func (t *Table) enter(s balsampier.ServiceName, id balsampier.InstanceID, i int32) {
+func (t *Table) enter(s balsampier.ServiceName, m *balsampier.Member) {
 	p := t.open[s]
 	if p == nil {
 		p = &pool{}
 		t.open[s] = p
 	}
-	p.ids = append(p.ids, id)
-	p.at = append(p.at, i)
+	p.ids = append(p.ids, m.ID)
+	p.targets = append(p.targets, target{holder: m.Holder(), addr: m.Addr, service: m.Service})
 }
 
 func (t *Table) pool(s balsampier.ServiceName) *pool {
@@ -129,11 +129,11 @@
 
 // Home returns the agent that decides on flows with the given key.
 func (t *Table) Home(s balsampier.ServiceName, k balsampier.FlowKey) (balsampier.Member, bool) {
-	i, ok := t.open[s].owner(slotOf(k))
-	if !ok {
+	o := t.open[s].owner(slotOf(k))
+	if o == nil {
 		return balsampier.Member{}, false
 	}
-	return t.view.Members[i], true
+	return t.Agent(o.holder.Instance)
 }
 
 // PreviousHome returns the home under the previous view when the agent is
@@ -155,7 +155,8 @@
 func (t *Table) toHolder(v balsampier.Verdict, h balsampier.Holder) balsampier.Verdict {
 	i, ok := t.agents[h.Instance]
 	if ok && t.view.Members[i].Incarnation == h.Incarnation {
-		return forward(v, &t.view.Members[i])
+		m := &t.view.Members[i]
+		return forward(v, &target{holder: h, addr: m.Addr, service: m.Service})
 	}
 	v.Action, v.Reason = balsampier.ActionWait, balsampier.ReasonHolderGone
 	if t.ended(h) {
@@ -177,24 +178,24 @@
 }
 
 func (t *Table) toHome(v balsampier.Verdict, s balsampier.ServiceName, p balsampier.Packet) balsampier.Verdict {
-	i, ok := t.open[s].owner(slotOf(p.Flow))
-	if !ok && !p.Opening {
-		i, ok = t.open[Any].owner(slotOf(p.Flow))
+	o := t.open[s].owner(slotOf(p.Flow))
+	if o == nil && !p.Opening {
+		o = t.open[Any].owner(slotOf(p.Flow))
 	}
-	if !ok {
+	if o == nil {
 		v.Action, v.Reason = balsampier.ActionRefuse, balsampier.ReasonNoBackendServer
 		if !p.Opening {
 			v.Action = balsampier.ActionWait
 		}
 		return v
 	}
-	v = forward(v, &t.view.Members[i])
+	v = forward(v, o)
 	v.Service = s
 	return v
 }
 
-func forward(v balsampier.Verdict, m *balsampier.Member) balsampier.Verdict {
-	v.Action, v.Target, v.Addr, v.Service = balsampier.ActionForward, m.Holder(), m.Addr, m.Service
+func forward(v balsampier.Verdict, o *target) balsampier.Verdict {
+	v.Action, v.Target, v.Addr, v.Service = balsampier.ActionForward, o.holder, o.addr, o.service
 	return v
 }
 
@@ -209,11 +210,11 @@
 
 // HomeOf returns the run that is the home; zero without one.
 func (t *Table) HomeOf(s balsampier.ServiceName, k balsampier.FlowKey) balsampier.Holder {
-	m, ok := t.Home(s, k)
-	if !ok {
+	o := t.open[s].owner(slotOf(k))
+	if o == nil {
 		return balsampier.Holder{}
 	}
-	return m.Holder()
+	return o.holder
 }
 
 // Homes returns the homes that must know a flow of service s: where its
