--- /dev/null
+++ b/command/retry/retry_test.go
@@ -0,0 +1,87 @@
+package retry
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/balsampier/balsampier"
+)
+
+// TestMain fixes the seed; one given on the command line wins.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func TestRetryOnlyWhatDidNotRun(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	good := Try{Kind: balsampier.KindNotRun, Attempt: 1, Others: 1}
+	tests := []struct {
+		name string
+		edit func(*Try)
+		want bool
+	}{
+		{"notRun", func(*Try) {}, true},
+		{"unknown", func(y *Try) { y.Kind = balsampier.KindUnknown }, false},
+		{"unavailable", func(y *Try) { y.Kind = balsampier.KindUnavailable }, false},
+		{"noOtherServer", func(y *Try) { y.Others = 0 }, false},
+		{"attempts", func(y *Try) { y.Attempt = 3 }, false},
+		{"deadlinePassed", func(y *Try) { y.Deadline = now.Add(-time.Nanosecond) }, false},
+		{"deadlineTooNear", func(y *Try) { y.Deadline, y.Expected = now.Add(time.Second), 2*time.Second }, false},
+		{"deadlineFar", func(y *Try) { y.Deadline, y.Expected = now.Add(time.Second), 500*time.Millisecond }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s, err := Settings{}.Check()
+			c.Assert(err, qt.IsNil)
+			b := NewBudget(s)
+			for range 100 {
+				b.Offered()
+			}
+			y := good
+			tt.edit(&y)
+			_, ok := b.Retry(y, now, rand.NewPCG(1, 1))
+			c.Assert(ok, qt.Equals, tt.want)
+		})
+	}
+}
+
+func TestRetriesStayWithinBudgetAndDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := Settings{}.Check()
+		b := NewBudget(s)
+		r := rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)
+		now := time.Unix(1_800_000_000, 0)
+		offered, retried := 0, 0
+		for _, n := range rapid.SliceOfN(rapid.IntRange(0, 3), 1, 500).Draw(t, "steps") {
+			if n == 0 {
+				b.Offered()
+				offered++
+				continue
+			}
+			y := Try{
+				Kind: balsampier.KindNotRun, Attempt: n, Others: 1,
+				Deadline: now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "deadline")) * time.Millisecond),
+			}
+			d, ok := b.Retry(y, now, r)
+			if !ok {
+				continue
+			}
+			retried++
+			if d < 0 || d > s.MaxDelay || now.Add(d).After(y.Deadline) {
+				t.Fatalf("wait %v for deadline %v", d, y.Deadline.Sub(now))
+			}
+		}
+		if float64(retried) > s.Share*float64(offered)+1e-6 {
+			t.Fatalf("%d retries of %d requests", retried, offered)
+		}
+	})
+}
