feat: share slots by class weight and caller, and refuse what is late

Cause: the first admission served the urgent class first and each class in order of arrival. Change: start-time fair queueing between the classes by guaranteed weight and within a class between callers, each charged for the slot time it took; a full queue takes its room from the caller that has most waiting; what cannot finish by the mean run time and two deviations is refused before it starts; in an overload the wait is bounded; a shed request lowers the limit, which stays below the shed level for a pause that doubles. Refusals carry a reason and a time to retry after. The Admitter interface gains Shed, Stream and Refusal.

--- a/command/admit/admit.go
+++ b/command/admit/admit.go
@@ -1,100 +1,274 @@
-// Package admit decides which requests run, wait or are refused.
+// Package admit decides which requests run, wait or are refused at one
+// backend server. Classes share the slots by weight, callers share the slots
+// of their class evenly, and what cannot finish in time never starts.
 package admit
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/balsampier/balsampier"
 )
 
+const (
+	classes = 2
+
+	// sweepInterval is how often waiting requests are checked for refusal.
+	sweepInterval = 5 * time.Millisecond
+
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
 type (
-	// Queue admits requests to the slots of one backend server. Urgent
-	// requests go first.
+	// Queue admits requests to the slots of one backend server.
 	Queue struct {
-		// slots is how many requests may run at once.
-		slots int
-		// depth bounds the waiting requests of each class.
-		depth int
-		// running holds the tickets in slots, at most slots of them unless
-		// SetSlots lowered it.
-		running map[balsampier.Ticket]struct{}
-		// waiting holds the waiting requests of each class, oldest first.
-		waiting [2][]waiter
-		next    balsampier.Ticket
+		settings Settings
+		// running holds the tickets in slots.
+		running map[balsampier.Ticket]*waiter
+		// streams holds the requests that became connections, at most
+		// MaxConnections.
+		streams map[balsampier.Ticket]struct{}
+		// classes are indexed by Class.
+		classes [classes]*classQueue
+		// virtual is the tag by which the class that was served last was picked;
+		// it only grows.
+		virtual time.Duration
+		limit   limit
+		// refused holds the refusals of the last Offer or Next.
+		refused map[balsampier.Ticket]balsampier.Refusal
+		// displaced holds the requests that gave their place to another
+		// caller's; the next Next refuses them.
+		displaced []*waiter
+		// swept is when the waiting requests were last checked.
+		swept time.Time
+		last  balsampier.Ticket
 	}
 
 	waiter struct {
 		ticket balsampier.Ticket
 		r      balsampier.Request
+		// caller stands for all addresses that are treated as one caller.
+		caller netip.Addr
+		// at is when the request was offered.
+		at time.Time
+		// started is zero while the request waits.
+		started time.Time
+		// charged is the service time that was charged at the start.
+		charged time.Duration
 	}
 )
 
 var _ balsampier.Admitter = (*Queue)(nil)
 
 // New returns a queue for the given number of slots with room for depth
-// waiting requests of each class.
+// waiting requests of each class and defaults for the rest.
 func New(slots, depth int) *Queue {
-	return &Queue{slots: slots, depth: depth, running: make(map[balsampier.Ticket]struct{})}
+	s := Defaults()
+	s.Slots, s.Depth = slots, depth
+	return NewQueue(s)
+}
+
+// NewQueue returns a queue. The settings are checked ones.
+func NewQueue(s Settings) *Queue {
+	q := &Queue{
+		settings: s,
+		running:  make(map[balsampier.Ticket]*waiter),
+		streams:  make(map[balsampier.Ticket]struct{}),
+		limit:    newLimit(s.Slots),
+		refused:  make(map[balsampier.Ticket]balsampier.Refusal),
+	}
+	for c := range q.classes {
+		q.classes[c] = newClassQueue(s.Weights[c])
+	}
+	return q
+}
+
+// Offer presents a request. When the queue of its class is full, the newest
+// request of the caller that has most waiting makes room.
+func (q *Queue) Offer(r balsampier.Request, t time.Time) (balsampier.Ticket, balsampier.Admission) {
+	clear(q.refused)
+	q.last++
+	c := q.classes[r.Class]
+	w := &waiter{ticket: q.last, r: r, caller: group(r.Caller), at: t}
+	if c.late(w, t) {
+		q.refuse(w, balsampier.RefusalDeadline, t)
+		return w.ticket, balsampier.AdmissionRefused
+	}
+	if q.idle() && q.free() {
+		q.start(w, c.tag, t)
+		return w.ticket, balsampier.AdmissionRun
+	}
+	if c.n >= q.settings.Depth {
+		v, ok := c.displace(w.caller)
+		if !ok {
+			q.refuse(w, balsampier.RefusalQueueFull, t)
+			return w.ticket, balsampier.AdmissionRefused
+		}
+		q.displaced = append(q.displaced, v)
+	}
+	c.push(w, q.virtual, t)
+	return w.ticket, balsampier.AdmissionQueued
 }
 
-// Offer presents a request.
-func (q *Queue) Offer(r balsampier.Request, _ time.Time) (balsampier.Ticket, balsampier.Admission) {
-	q.next++
-	k := q.next
-	if len(q.running) < q.slots && len(q.waiting[0])+len(q.waiting[1]) == 0 {
-		q.running[k] = struct{}{}
-		return k, balsampier.AdmissionRun
+// Done frees the slot of a request that ran, or ends its stream.
+func (q *Queue) Done(k balsampier.Ticket, t time.Time) {
+	delete(q.streams, k)
+	if q.leave(k, t, true) {
+		q.limit.raise(t)
 	}
-	if len(q.waiting[r.Class]) >= q.depth {
-		return k, balsampier.AdmissionRefused
+}
+
+// Shed frees the slot of a request that the backend server refused, and
+// lowers the number of requests that run at once.
+func (q *Queue) Shed(k balsampier.Ticket, t time.Time) {
+	if q.leave(k, t, false) {
+		q.limit.lower(t)
 	}
-	q.waiting[r.Class] = append(q.waiting[r.Class], waiter{ticket: k, r: r})
-	return k, balsampier.AdmissionQueued
 }
 
-// Done frees the slot of a request that ran.
-func (q *Queue) Done(k balsampier.Ticket, _ time.Time) { delete(q.running, k) }
+// Stream turns a request that runs into a connection.
+func (q *Queue) Stream(k balsampier.Ticket, t time.Time) bool {
+	if _, ok := q.running[k]; !ok || len(q.streams) >= q.settings.MaxConnections {
+		return false
+	}
+	q.leave(k, t, false)
+	q.streams[k] = struct{}{}
+	return true
+}
 
 // Cancel withdraws a request that still waits.
 func (q *Queue) Cancel(k balsampier.Ticket, _ time.Time) {
-	for c, ws := range q.waiting {
-		for i, w := range ws {
-			if w.ticket == k {
-				q.waiting[c] = append(ws[:i:i], ws[i+1:]...)
-				return
-			}
+	for _, c := range q.classes {
+		if c.remove(k) {
+			return
+		}
+	}
+	for i, w := range q.displaced {
+		if w.ticket == k {
+			q.displaced = append(q.displaced[:i:i], q.displaced[i+1:]...)
+			return
 		}
 	}
 }
 
-// Next starts what fits and refuses what is past its deadline.
+// Next returns the tickets that may start and those that are refused.
 func (q *Queue) Next(t time.Time) (start, refuse []balsampier.Ticket) {
-	for c := int(balsampier.ClassUrgent); c >= 0; c-- {
-		keep := q.waiting[c][:0:0]
-		for _, w := range q.waiting[c] {
-			switch {
-			case !w.r.Deadline.IsZero() && t.After(w.r.Deadline):
-				refuse = append(refuse, w.ticket)
-			case len(q.running) < q.slots:
-				q.running[w.ticket] = struct{}{}
-				start = append(start, w.ticket)
-			default:
-				keep = append(keep, w)
-			}
+	clear(q.refused)
+	for _, w := range q.displaced {
+		q.refuse(w, balsampier.RefusalQueueFull, t)
+	}
+	q.displaced = nil
+	if t.Sub(q.swept) >= sweepInterval || t.Before(q.swept) {
+		q.sweep(t)
+	}
+	for q.free() {
+		c, due := q.pick(t)
+		if c == nil {
+			break
+		}
+		w := c.pop()
+		if c.late(w, t) {
+			q.refuse(w, balsampier.RefusalDeadline, t)
+			continue
 		}
-		q.waiting[c] = keep
+		q.start(w, due, t)
+		start = append(start, w.ticket)
+	}
+	for k := range q.refused {
+		refuse = append(refuse, k)
 	}
 	return start, refuse
 }
 
+// Refusal tells why the ticket was refused by the last Offer or Next.
+func (q *Queue) Refusal(k balsampier.Ticket) (balsampier.Refusal, bool) {
+	r, ok := q.refused[k]
+	return r, ok
+}
+
 // SetSlots changes the number of requests that run at once.
-func (q *Queue) SetSlots(n int) { q.slots = n }
+func (q *Queue) SetSlots(n int) {
+	q.settings.Slots = n
+	q.limit.set(n)
+}
 
 // Load returns the current load.
 func (q *Queue) Load() balsampier.Load {
 	return balsampier.Load{
-		Running: len(q.running),
-		Queued:  len(q.waiting[0]) + len(q.waiting[1]),
-		Slots:   q.slots,
+		Running:     len(q.running),
+		Queued:      q.classes[0].n + q.classes[1].n,
+		Connections: len(q.streams),
+		Slots:       q.limit.slots(),
+	}
+}
+
+func (q *Queue) free() bool { return len(q.running) < q.limit.slots() }
+
+func (q *Queue) idle() bool { return q.classes[0].n+q.classes[1].n == 0 }
+
+// pick returns the class that is due next, nil when none waits. Equal tags go
+// to the higher class.
+func (q *Queue) pick(t time.Time) (best *classQueue, due time.Duration) {
+	for i := classes - 1; i >= 0; i-- {
+		c := q.classes[i]
+		if c.n == 0 {
+			continue
+		}
+		if d := c.due(t); best == nil || d < due {
+			best, due = c, d
+		}
+	}
+	return best, due
+}
+
+// start gives w a slot; due is the tag by which its class was picked.
+func (q *Queue) start(w *waiter, due time.Duration, t time.Time) {
+	c := q.classes[w.r.Class]
+	w.started, w.charged = t, c.service.estimate(t)
+	c.tag = max(c.tag, q.virtual)
+	q.virtual = max(q.virtual, due)
+	c.charge(w, w.charged)
+	q.running[w.ticket] = w
+}
+
+// leave frees the slot of a request and corrects its charge to what it took.
+func (q *Queue) leave(k balsampier.Ticket, t time.Time, ran bool) bool {
+	w, ok := q.running[k]
+	if !ok {
+		return false
+	}
+	delete(q.running, k)
+	c, d := q.classes[w.r.Class], t.Sub(w.started)
+	c.charge(w, d-w.charged)
+	if ran {
+		c.service.observe(d, t)
+	}
+	return true
+}
+
+// sweep refuses what cannot finish in time, and in an overload what waited
+// longer than the target while enough younger requests wait.
+func (q *Queue) sweep(t time.Time) {
+	q.swept = t
+	for _, c := range q.classes {
+		c.prune()
+		for _, w := range c.takeLate(t) {
+			q.refuse(w, balsampier.RefusalDeadline, t)
+		}
+		limit := q.settings.MaxWait
+		if c.overloaded(t, q.settings.Interval) {
+			limit = min(limit, max(q.settings.Target, targetRuns*c.service.estimate(t)))
+		}
+		for _, w := range c.takeOlder(t.Add(-limit), q.limit.slots()) {
+			q.refuse(w, balsampier.RefusalOverload, t)
+		}
 	}
 }
+
+func (q *Queue) refuse(w *waiter, r balsampier.RefusalReason, t time.Time) {
+	c := q.classes[w.r.Class]
+	share := q.settings.Weights[w.r.Class] / (q.settings.Weights[0] + q.settings.Weights[1])
+	d := time.Duration(float64(c.n) * float64(c.service.estimate(t)) / (share * float64(q.limit.slots())))
+	q.refused[w.ticket] = balsampier.Refusal{Reason: r, RetryAfter: min(max(d, minRetryAfter), maxRetryAfter)}
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -62,12 +62,31 @@
 		// Next returns the tickets that may start and those that are refused
 		// by time t.
 		Next(t time.Time) (start, refuse []Ticket)
+		// Shed frees the slot of a request that the backend server refused for
+		// lack of capacity.
+		Shed(k Ticket, t time.Time)
+		// Stream turns a request that runs into a connection, which needs no
+		// slot, and reports whether there was room for it.
+		Stream(k Ticket, t time.Time) bool
+		// Refusal tells why the ticket was refused by the last Offer or Next.
+		Refusal(k Ticket) (Refusal, bool)
 		// SetSlots changes the number of requests that run at once.
 		SetSlots(n int)
 		// Load returns the current load.
 		Load() Load
 	}
 
+	// Refusal tells why a request was refused before it started.
+	Refusal struct {
+		// Reason is never zero.
+		Reason RefusalReason
+		// RetryAfter is how long the caller should wait before it resends.
+		RetryAfter time.Duration
+	}
+
+	// RefusalReason is why a request was refused before it started.
+	RefusalReason uint8
+
 	// Ticket identifies an offered request at its Admitter.
 	Ticket uint64
 
@@ -128,3 +147,17 @@
 	// AdmissionRefused requests do not run.
 	AdmissionRefused
 )
+
+const (
+	// RefusalQueueFull means that the queue of the class had no room.
+	RefusalQueueFull RefusalReason = iota + 1
+	// RefusalDeadline means that the request could not finish in time.
+	RefusalDeadline
+	// RefusalOverload means that the request waited too long in an overload.
+	RefusalOverload
+)
+
+// String returns the name of the reason as it stands in metrics and dumps.
+func (r RefusalReason) String() string {
+	return [...]string{"none", "queueFull", "deadline", "overload"}[r]
+}
