feat: publish deltas within a byte budget and follow them

Cause: watchers got whole views and rule files, without a budget, and had no rule for which control instance to trust.

Change: query/members answers with deltas between views, cut to what a watcher needs, and with rules deltas that replace one span of the text; a publisher sends parts within a byte budget, of rules and view the one with less left first, loads last. command/follow takes whole deltas only, never goes back, becomes ready only on what a quorum confirmed after it connected, serves on when cut off and says so, and reconnects to the next instance with full jitter.

Conclusion: both ends refuse to go back, and readiness needs a quorum.

--- /dev/null
+++ b/command/follow/follow.go
@@ -0,0 +1,210 @@
+// Package follow decides how a balancer or agent follows the rules and the
+// membership: what it takes over, when it is ready, and which control instance
+// it watches.
+package follow
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/backoff"
+	"github.com/balsampier/balsampier/query/members"
+)
+
+const (
+	// StateWaiting followers wait before they connect again.
+	StateWaiting State = iota
+	// StateConnecting followers have heard nothing on their stream yet.
+	StateConnecting
+	// StateUnconfirmed followers hear from an instance that has not confirmed
+	// with a quorum that it knows the newest state.
+	StateUnconfirmed
+	// StateFollowing followers hear from an instance that has.
+	StateFollowing
+)
+
+const (
+	// Silence is how long a stream may say nothing before it counts as
+	// broken.
+	Silence = 4 * members.HeartbeatInterval
+	// Patience is how long a stream may stay without confirmation before
+	// another instance is tried.
+	Patience = 8 * members.HeartbeatInterval
+)
+
+// reconnect spaces attempts to reach a control instance.
+var reconnect = backoff.Policy{Base: 200 * time.Millisecond, Cap: 10 * time.Second}
+
+type (
+	// State tells how a follower stands with control.
+	State uint8
+
+	// Follower is the watching side of a balancer or agent.
+	Follower struct {
+		// instances is how many control instances there are; positive.
+		instances int
+		// instance is the one that is watched or tried next.
+		instance int
+		state    State
+		// rules and view are in force; neither ever goes back.
+		rules  balsampier.RuleFile
+		view   balsampier.View
+		active balsampier.Epoch
+		// ready is true from the first time at which rules and view were
+		// confirmed to be the newest.
+		ready bool
+		// parts holds what arrived of deltas on this stream.
+		parts members.Assembly
+		// whole is true from a gap until it is closed; streams ask for
+		// everything meanwhile.
+		whole bool
+		// heard is when the stream began or said something last.
+		heard time.Time
+		// confirmed is when the state was last confirmed to be the newest, or
+		// when the stream began.
+		confirmed time.Time
+		// lastConfirmed is when the state was last confirmed to be the newest;
+		// zero when it never was.
+		lastConfirmed time.Time
+		// retryAt is when to connect while the state is StateWaiting.
+		retryAt time.Time
+		// failures counts streams that broke since the last confirmation.
+		failures int
+	}
+
+	// Connection says which instance to watch, from where on.
+	Connection struct {
+		// Instance is an index into the configured control instances.
+		Instance int
+		// Position is what the follower has; zero to ask for everything.
+		Position members.Position
+	}
+
+	// Change is what a message changed. A caller takes over the whole of it
+	// at once, and serves only once the follower is ready.
+	Change struct {
+		// Rules is nil when the rules stay.
+		Rules *balsampier.RuleFile
+		// View is nil when the view stays.
+		View *balsampier.View
+		// Ready is true when the follower became ready by this message.
+		Ready bool
+	}
+)
+
+// New returns the follower of a process that starts at time t. It begins with
+// a random one of n control instances.
+func New(n int, t time.Time, r balsampier.Random) *Follower {
+	return &Follower{instances: n, instance: int(r.Uint64() % uint64(n)), retryAt: t}
+}
+
+// Due returns the time of the next call of Connect or Expire.
+func (f *Follower) Due() time.Time {
+	if f.state == StateWaiting {
+		return f.retryAt
+	}
+	u := f.heard.Add(Silence)
+	if p := f.confirmed.Add(Patience); p.Before(u) {
+		return p
+	}
+	return u
+}
+
+// Connect says at time t what to connect to; ok is false when it is too early
+// or a stream is open.
+func (f *Follower) Connect(t time.Time) (c Connection, ok bool) {
+	if f.state != StateWaiting || t.Before(f.retryAt) {
+		return c, false
+	}
+	f.state, f.heard, f.confirmed = StateConnecting, t, t
+	f.parts = members.Assembly{}
+	c.Instance = f.instance
+	if !f.whole {
+		c.Position = members.Position{Revision: f.rules.Revision, Epoch: f.view.Epoch}
+	}
+	return c, true
+}
+
+// Take takes a message of the open stream at time t. After an error the stream
+// has to be closed and Broke called.
+func (f *Follower) Take(m members.Message, t time.Time) (c Change, err error) {
+	f.heard = t
+	f.active = max(f.active, m.Active)
+	if m.Rules != nil {
+		if c.Rules, err = f.takeRules(*m.Rules); err != nil {
+			f.whole = true
+			return Change{}, trace.Wrap(err)
+		}
+	}
+	if m.View != nil {
+		if c.View, err = f.takeView(*m.View); err != nil {
+			f.whole = true
+			return c, trace.Wrap(err)
+		}
+	}
+	c.Ready = f.confirm(m, t)
+	return c, nil
+}
+
+// Expire reports whether the open stream has been silent or unconfirmed for
+// too long; it has to be closed and Broke called then.
+func (f *Follower) Expire(t time.Time) bool {
+	return f.state != StateWaiting && !t.Before(f.Due())
+}
+
+// Broke takes the end of a stream, or that none could be opened. The next
+// attempt goes to the next instance, after a random delay.
+func (f *Follower) Broke(t time.Time, r balsampier.Random) {
+	f.state = StateWaiting
+	f.instance = (f.instance + 1) % f.instances
+	f.retryAt = t.Add(reconnect.Delay(f.failures, r))
+	f.failures++
+}
+
+// takeRules returns the rule file that came into force with a part.
+func (f *Follower) takeRules(p members.RulesPart) (*balsampier.RuleFile, error) {
+	d, ok := f.parts.AddRules(p)
+	if !ok || d.File.Revision <= f.rules.Revision {
+		return nil, nil
+	}
+	g, err := members.ApplyRules(f.rules, d)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f.rules, f.whole = g, false
+	return &g, nil
+}
+
+// takeView returns the view that came into force with a part.
+func (f *Follower) takeView(p members.ViewPart) (*balsampier.View, error) {
+	d, ok := f.parts.AddView(p)
+	if !ok || d.To <= f.view.Epoch {
+		return nil, nil
+	}
+	v, err := members.Apply(f.view, d)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f.view, f.whole = v, false
+	return &v, nil
+}
+
+// confirm takes what a message says of the newest state and reports whether
+// the follower became ready.
+func (f *Follower) confirm(m members.Message, t time.Time) bool {
+	f.state = StateUnconfirmed
+	if !m.Confirmed {
+		return false
+	}
+	f.state = StateFollowing
+	f.confirmed, f.failures = t, 0
+	if m.Revision > f.rules.Revision || m.Epoch > f.view.Epoch {
+		return false
+	}
+	f.lastConfirmed, f.whole = t, false
+	first := !f.ready
+	f.ready = true
+	return first
+}
--- /dev/null
+++ b/command/follow/follow_test.go
@@ -0,0 +1,327 @@
+package follow_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/apply"
+	"github.com/balsampier/balsampier/command/follow"
+	"github.com/balsampier/balsampier/query/members"
+)
+
+var (
+	start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	sizes = members.Sizes{
+		Member: func(balsampier.Member) int { return 78 }, File: func(balsampier.RuleFile) int { return 60 },
+		Removed: 11, Load: 30, Message: 24,
+	}
+)
+
+type (
+	// truth is everything that was ever committed.
+	truth struct {
+		state apply.State
+		files []balsampier.RuleFile
+		views []balsampier.View
+	}
+
+	// instance is a control instance that has applied a prefix of truth.
+	instance struct {
+		files, views int
+		history      *members.History
+		cut          bool
+	}
+
+	// watcher is one balancer or agent with its stream.
+	watcher struct {
+		member   balsampier.Member
+		interest members.Interest
+		follower *follow.Follower
+		// accepted is the newest revision when the process started.
+		accepted balsampier.Revision
+		// stream is nil without an open one.
+		stream   *members.Publisher
+		instance int
+		wire     []members.Message
+	}
+
+	world struct {
+		truth
+		now       time.Time
+		random    *rand.Rand
+		instances []*instance
+		watchers  []*watcher
+		readies   int
+	}
+)
+
+func TestMain(m *testing.M) {
+	for _, f := range [][2]string{{"rapid.seed", "1"}, {"rapid.steps", "120"}, {"rapid.checks", "300"}, {"rapid.nofailfile", "true"}} {
+		_ = flag.Set(f[0], f[1])
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func newWorld() *world {
+	w := &world{now: start, random: rand.New(rand.NewPCG(1, 2))}
+	w.files, w.views = []balsampier.RuleFile{{}}, []balsampier.View{{}}
+	for range 3 {
+		w.instances = append(w.instances, &instance{history: members.NewHistory(balsampier.View{})})
+	}
+	for _, m := range []balsampier.Member{
+		{ID: 101, Role: balsampier.RoleBalancer, DataCentre: "limaNorte"},
+		{ID: 102, Role: balsampier.RoleAgent, Service: "reservas", DataCentre: "limaNorte"},
+		{ID: 103, Role: balsampier.RoleAgent, Service: "galeria", DataCentre: "limaSur"},
+	} {
+		p := &watcher{member: m, interest: members.InterestOf(m, false)}
+		w.watchers = append(w.watchers, p)
+		w.restart(p)
+	}
+	return w
+}
+
+func (w *world) restart(p *watcher) {
+	p.follower = follow.New(len(w.instances), w.now, w.random)
+	p.accepted, p.stream, p.wire = w.state.Rules.Revision, nil, nil
+}
+
+func (w *world) accept(text string) {
+	w.state.Submit(balsampier.Submission{
+		ID: [16]byte{byte(len(w.files)), byte(len(w.files) >> 8)}, Base: w.state.Rules.Revision, Text: text, At: w.now,
+	})
+	w.files = append(w.files, w.state.Rules)
+}
+
+func (w *world) change(c apply.MembershipChange) {
+	w.state.ChangeMembers(c)
+	w.views = append(w.views, w.state.View)
+}
+
+func (w *world) replicate(i *instance) {
+	if i.cut {
+		return
+	}
+	i.files, i.views = len(w.files)-1, len(w.views)-1
+	i.history.Add(w.views[i.views])
+}
+
+// poll lets a watcher connect, or its instance send one message.
+func (w *world) poll(p *watcher) {
+	if p.stream == nil {
+		if c, ok := p.follower.Connect(w.now); ok {
+			p.instance, p.wire = c.Instance, nil
+			p.stream = members.NewPublisher(p.interest, sizes, members.DefaultBudget, c.Position, w.now)
+		}
+		return
+	}
+	i := w.instances[p.instance]
+	s := members.Source{
+		Rules: w.files[i.files], Earlier: w.files[max(0, i.files-3):i.files], History: i.history,
+		Confirmed: !i.cut && i.files == len(w.files)-1 && i.views == len(w.views)-1,
+	}
+	if m, _, ok := p.stream.Next(s, w.now); ok {
+		p.wire = append(p.wire, m)
+	}
+}
+
+// receive lets a watcher take what is on the wire.
+func (w *world) receive(p *watcher, n int) error {
+	for range min(n, len(p.wire)) {
+		m := p.wire[0]
+		p.wire = p.wire[1:]
+		c, err := p.follower.Take(m, w.now)
+		if err != nil {
+			w.broke(p)
+			break
+		}
+		if !c.Ready {
+			continue
+		}
+		w.readies++
+		if r := p.follower.Rules().Revision; r < p.accepted {
+			return fmt.Errorf("ready on revision %d, started when %d was accepted", r, p.accepted)
+		}
+	}
+	return nil
+}
+
+func (w *world) broke(p *watcher) {
+	if p.stream != nil {
+		p.stream, p.wire = nil, nil
+		p.follower.Broke(w.now, w.random)
+	}
+}
+
+// check compares what a watcher has in force with what was committed.
+func (w *world) check(p *watcher) error {
+	f, v := p.follower.Rules(), p.follower.View()
+	if g := w.files[f.Revision]; g.Text != f.Text || g.Submission != f.Submission {
+		return fmt.Errorf("revision %d is %q, want %q", f.Revision, f.Text, g.Text)
+	}
+	var want []balsampier.Member
+	for _, m := range w.views[v.Epoch].Members {
+		if p.interest.Wants(m) {
+			want = append(want, m)
+		}
+	}
+	if !slices.Equal(v.Members, want) {
+		return fmt.Errorf("epoch %d is %+v, want %+v", v.Epoch, v.Members, want)
+	}
+	return nil
+}
+
+// run lets time pass without faults.
+func (w *world) run(d time.Duration) error {
+	for u := w.now.Add(d); w.now.Before(u); w.now = w.now.Add(100 * time.Millisecond) {
+		for _, i := range w.instances {
+			w.replicate(i)
+		}
+		for _, p := range w.watchers {
+			if p.stream != nil && p.follower.Expire(w.now) {
+				w.broke(p)
+			}
+			w.poll(p)
+			if err := w.receive(p, 10); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// TestFollowers checks that no watcher ever goes back, has anything but what
+// was committed, has half of a view, or becomes ready on less than what was
+// accepted before it started, and that all come to the newest state.
+func TestFollowers(t *testing.T) {
+	readies := 0
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWorld()
+		before := map[*follow.Follower]members.Position{}
+		r.Repeat(w.actions(func(r *rapid.T) {
+			for _, p := range w.watchers {
+				n := members.Position{Revision: p.follower.Rules().Revision, Epoch: p.follower.View().Epoch}
+				if o := before[p.follower]; n.Revision < o.Revision || n.Epoch < o.Epoch {
+					r.Fatalf("went back from %+v to %+v", o, n)
+				}
+				before[p.follower] = n
+				if err := w.check(p); err != nil {
+					r.Fatal(err)
+				}
+			}
+		}))
+		for _, i := range w.instances {
+			i.cut = false
+		}
+		if err := w.run(40 * time.Second); err != nil {
+			r.Fatal(err)
+		}
+		for _, p := range w.watchers {
+			s := p.follower.Status(w.now)
+			if !s.Ready || s.CutOff || s.Revision != w.state.Rules.Revision || s.Epoch != w.state.View.Epoch {
+				r.Fatalf("%+v after all faults ended, newest is revision %d in epoch %d", s, w.state.Rules.Revision, w.state.View.Epoch)
+			}
+		}
+		readies += w.readies
+	})
+	if readies == 0 {
+		t.Fatal("no follower became ready")
+	}
+}
+
+func (w *world) actions(check func(*rapid.T)) map[string]func(*rapid.T) {
+	anyOf := func(r *rapid.T) *watcher { return w.watchers[rapid.IntRange(0, 2).Draw(r, "watcher")] }
+	anyInstance := func(r *rapid.T) *instance { return w.instances[rapid.IntRange(0, 2).Draw(r, "instance")] }
+	return map[string]func(*rapid.T){
+		"": check,
+		"accept": func(r *rapid.T) {
+			b := w.state.Rules.Text
+			i, j := rapid.IntRange(0, len(b)).Draw(r, "start"), rapid.IntRange(0, len(b)).Draw(r, "end")
+			n := rapid.SampledFrom([]int{1, 40, 4000}).Draw(r, "insert")
+			w.accept(b[:min(i, j)] + strings.Repeat(rapid.SampledFrom([]string{"a", "b"}).Draw(r, "text"), n) + b[max(i, j):])
+		},
+		"change": func(r *rapid.T) {
+			var c apply.MembershipChange
+			for _, id := range rapid.SliceOfNDistinct(rapid.IntRange(1, 60), 0, 40, rapid.ID).Draw(r, "members") {
+				m := balsampier.Member{ID: balsampier.InstanceID(id), Incarnation: balsampier.Incarnation(len(w.views))}
+				m.Role = []balsampier.Role{balsampier.RoleBalancer, balsampier.RoleAgent, balsampier.RoleControl}[id%3]
+				m.DataCentre = []balsampier.DataCentre{"limaNorte", "limaSur"}[id%2]
+				m.Service = []balsampier.ServiceName{"reservas", "galeria"}[len(w.views)%2]
+				if id%5 == len(w.views)%5 {
+					c.Left = append(c.Left, m.ID)
+				} else {
+					c.Joined = append(c.Joined, m)
+				}
+			}
+			w.change(c)
+		},
+		"replicate": func(r *rapid.T) { w.replicate(anyInstance(r)) },
+		"cut": func(r *rapid.T) {
+			i := anyInstance(r)
+			i.cut = !i.cut
+		},
+		"advance": func(r *rapid.T) {
+			w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{10, 200, 1000, 9000}).Draw(r, "ms")) * time.Millisecond)
+		},
+		"poll": func(r *rapid.T) {
+			p := anyOf(r)
+			for range rapid.IntRange(1, 20).Draw(r, "messages") {
+				w.poll(p)
+				w.now = w.now.Add(130 * time.Millisecond)
+			}
+		},
+		"receive": func(r *rapid.T) {
+			if err := w.receive(anyOf(r), rapid.IntRange(1, 20).Draw(r, "messages")); err != nil {
+				r.Fatal(err)
+			}
+		},
+		"interrupt": func(r *rapid.T) {
+			p := anyOf(r)
+			for range rapid.IntRange(1, 8).Draw(r, "messages") {
+				w.now = w.now.Add(200 * time.Millisecond)
+				w.poll(p)
+				if err := w.receive(p, 1); err != nil {
+					r.Fatal(err)
+				}
+			}
+			w.broke(p)
+		},
+		"break":   func(r *rapid.T) { w.broke(anyOf(r)) },
+		"restart": func(r *rapid.T) { w.restart(anyOf(r)) },
+	}
+}
+
+// TestCutOff checks what a follower does and says on its own.
+func TestCutOff(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.accept("first")
+	c.Assert(w.run(10*time.Second), qt.IsNil)
+	p := w.watchers[0]
+	c.Assert(p.follower.Status(w.now).State, qt.Equals, follow.StateFollowing)
+	tried := map[int]bool{}
+	for range 2000 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		if k, ok := p.follower.Connect(w.now); ok {
+			tried[k.Instance] = true
+		}
+		if p.follower.Expire(w.now) {
+			p.follower.Broke(w.now, w.random)
+		}
+		c.Assert(p.follower.Ready(), qt.IsTrue)
+	}
+	s := p.follower.Status(w.now)
+	c.Assert(s.CutOff, qt.IsTrue)
+	c.Assert(s.Revision, qt.Equals, balsampier.Revision(1))
+	c.Assert(tried, qt.HasLen, 3)
+}
--- /dev/null
+++ b/query/members/parts.go
@@ -0,0 +1,122 @@
+package members
+
+import "github.com/balsampier/balsampier"
+
+// takeRules moves the next part of the rules into m and returns its length.
+func (p *Publisher) takeRules(m *Message) int {
+	d := *p.rules
+	n := p.sizes.File(balsampier.RuleFile{})
+	if k := max(p.part()-p.sizes.Message-n, 1); k < len(d.Insert) {
+		m.Rules = &RulesPart{Delta: d, More: true}
+		m.Rules.Delta.Insert = d.Insert[:k]
+		m.Rules.Delta.File = balsampier.RuleFile{Revision: d.File.Revision}
+		p.rules.Insert = d.Insert[k:]
+		return n + k
+	}
+	m.Rules = &RulesPart{Delta: d}
+	p.rules = nil
+	return p.sizes.File(d.File) + len(d.Insert)
+}
+
+// takeView moves the next part of the view into m and returns its length.
+func (p *Publisher) takeView(m *Message) int {
+	room := p.part() - p.sizes.Message
+	d := Delta{From: p.view.From, To: p.view.To}
+	n, i := 0, 0
+	for i < len(p.view.Removed) && n+p.sizes.Removed <= room {
+		n += p.sizes.Removed
+		i++
+	}
+	d.Removed, p.view.Removed = p.view.Removed[:i], p.view.Removed[i:]
+	i = 0
+	for i < len(p.view.Changed) && len(p.view.Removed) == 0 {
+		k := p.sizes.Member(p.view.Changed[i])
+		if n > 0 && n+k > room {
+			break
+		}
+		n += k
+		i++
+	}
+	d.Changed, p.view.Changed = p.view.Changed[:i], p.view.Changed[i:]
+	m.View = &ViewPart{Delta: d, More: len(p.view.Changed)+len(p.view.Removed) > 0}
+	if !m.View.More {
+		p.view = nil
+	}
+	return n
+}
+
+// takeLoads moves the next loads into m and returns their length.
+func (p *Publisher) takeLoads(m *Message, s Source) int {
+	room := min(p.tokens, p.part()) - p.sizes.Message
+	n := 0
+	for range s.Loads {
+		if n+p.sizes.Load > room {
+			break
+		}
+		p.load %= len(s.Loads)
+		m.Loads = append(m.Loads, s.Loads[p.load])
+		p.load++
+		n += p.sizes.Load
+	}
+	return n
+}
+
+func (p *Publisher) rulesLeft() int { return p.sizes.File(p.rules.File) + len(p.rules.Insert) }
+
+func (p *Publisher) viewLeft() int {
+	n := len(p.view.Removed) * p.sizes.Removed
+	for _, m := range p.view.Changed {
+		n += p.sizes.Member(m)
+		if n > p.budget {
+			break
+		}
+	}
+	return n
+}
+
+// Assembly joins the parts of a stream to whole deltas, so that a watcher never
+// has half of a view or rule file.
+type Assembly struct {
+	// rules and view are the parts so far; nil before the first one.
+	rules *RulesDelta
+	view  *Delta
+}
+
+// AddRules takes a part; ok is true with the last one.
+func (a *Assembly) AddRules(r RulesPart) (d RulesDelta, ok bool) {
+	if a.rules == nil || a.rules.File.Revision != r.Delta.File.Revision {
+		a.rules = &RulesDelta{}
+	}
+	r.Delta.Insert = a.rules.Insert + r.Delta.Insert
+	*a.rules = r.Delta
+	if r.More {
+		return d, false
+	}
+	d, a.rules = *a.rules, nil
+	return d, true
+}
+
+// AddView takes a part; ok is true with the last one.
+func (a *Assembly) AddView(v ViewPart) (d Delta, ok bool) {
+	if a.view == nil || a.view.From != v.Delta.From || a.view.To != v.Delta.To {
+		a.view = &Delta{From: v.Delta.From, To: v.Delta.To}
+	}
+	a.view.Changed = append(a.view.Changed, v.Delta.Changed...)
+	a.view.Removed = append(a.view.Removed, v.Delta.Removed...)
+	if v.More {
+		return d, false
+	}
+	d, a.view = *a.view, nil
+	return d, true
+}
+
+// Loads returns the loads that interest i wants of ls.
+func (h *History) Loads(ls []AgentLoad, i Interest) []AgentLoad {
+	var out []AgentLoad
+	for _, l := range ls {
+		if m, ok := h.view.Find(l.Agent); ok && i.Wants(m) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/query/members/rules.go
@@ -0,0 +1,99 @@
+package members
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+)
+
+// RulesDelta leads from one rule file to a later one by replacing one span of
+// its text.
+type RulesDelta struct {
+	// From is zero for a whole file, which replaces any other.
+	From balsampier.Revision
+	// Skip is how many bytes of the earlier text stay before the span.
+	Skip int
+	// Cut is the length of the span in the earlier text.
+	Cut int
+	// Insert is the span in the later text.
+	Insert string
+	// Sum is the hash of the later text.
+	Sum uint64
+	// SameZones is true when the zones of both files are equal.
+	SameZones bool
+	// File is the later file without its text, and without its zones when
+	// SameZones is true.
+	File balsampier.RuleFile
+}
+
+// NewRulesDelta returns what leads from a to b.
+func NewRulesDelta(a, b balsampier.RuleFile) RulesDelta {
+	d := RulesDelta{From: a.Revision, Sum: xxhash.Sum64String(b.Text), File: b}
+	d.File.Text = ""
+	if a.Revision == 0 {
+		d.Insert = b.Text
+		return d
+	}
+	if d.SameZones = equalZones(a.Zones, b.Zones); d.SameZones {
+		d.File.Zones = nil
+	}
+	d.Skip = commonPrefix(a.Text, b.Text)
+	x, y := a.Text[d.Skip:], b.Text[d.Skip:]
+	n := commonSuffix(x, y)
+	d.Cut, d.Insert = len(x)-n, y[:len(y)-n]
+	return d
+}
+
+// ApplyRules returns the rule file after the delta. The error is of
+// KindConflict when the delta does not start at f; the whole file is needed
+// then.
+func ApplyRules(f balsampier.RuleFile, d RulesDelta) (balsampier.RuleFile, error) {
+	if d.From == 0 {
+		f = balsampier.RuleFile{}
+	}
+	if d.From != f.Revision || d.Skip < 0 || d.Cut < 0 || d.Skip > len(f.Text)-d.Cut {
+		return f, gap(d, f)
+	}
+	g := d.File
+	g.Text = strings.Join([]string{f.Text[:d.Skip], d.Insert, f.Text[d.Skip+d.Cut:]}, "")
+	if xxhash.Sum64String(g.Text) != d.Sum {
+		return f, gap(d, f)
+	}
+	if d.SameZones {
+		g.Zones = f.Zones
+	}
+	return g, nil
+}
+
+func equalZones(a, b []balsampier.ZoneTable) bool {
+	return slices.EqualFunc(a, b, func(x, y balsampier.ZoneTable) bool {
+		return x.Zone == y.Zone && slices.EqualFunc(x.Transitions, y.Transitions, func(k, l balsampier.Transition) bool {
+			return k.Offset == l.Offset && k.At.Equal(l.At)
+		})
+	})
+}
+
+func gap(d RulesDelta, f balsampier.RuleFile) error {
+	return trace.Wrap(balsampier.NewError(balsampier.KindConflict, "apply rules delta",
+		"ask for the whole rule file", nil), "delta from revision %d to %d on revision %d", d.From, d.File.Revision, f.Revision)
+}
+
+func commonPrefix(a, b string) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
+func commonSuffix(a, b string) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[len(a)-1-n] == b[len(b)-1-n] {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/query/members/status.go
@@ -0,0 +1,89 @@
+package members
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+type (
+	// Applied tells what one member has in force.
+	Applied struct {
+		Member balsampier.Member
+		// Revision is zero when the member reported none.
+		Revision balsampier.Revision
+		// Since is when the member first reported Revision; zero when it
+		// reported nothing.
+		Since time.Time
+	}
+
+	// Rollout summarizes which members have a revision in force.
+	Rollout struct {
+		// Revision is the accepted revision.
+		Revision balsampier.Revision
+		// AcceptedAt is when Revision was accepted.
+		AcceptedAt time.Time
+		// Roles has one element for each role with members, by role.
+		Roles []RoleRollout
+		// Lagging are members without Revision, those longest behind first; at
+		// most as many as were asked for.
+		Lagging []Lagging
+		// Omitted counts the lagging members that Lagging leaves out.
+		Omitted int
+	}
+
+	// RoleRollout counts the members of one role.
+	RoleRollout struct {
+		Role balsampier.Role
+		// InForce counts the members that have the revision in force.
+		InForce int
+		// Total counts all members of the role.
+		Total int
+	}
+
+	// Lagging is a member that does not have the accepted revision in force.
+	Lagging struct {
+		Applied
+		// Behind is how long the member has been without the accepted
+		// revision.
+		Behind time.Duration
+	}
+)
+
+// Complete reports whether every member has the revision in force.
+func (r Rollout) Complete() bool { return len(r.Lagging)+r.Omitted == 0 }
+
+// NewRollout summarizes at time t which of the members have rule file f in
+// force, with at most n lagging ones. Control instances apply no rules and are
+// left out.
+func NewRollout(f balsampier.RuleFile, as []Applied, n int, t time.Time) Rollout {
+	r := Rollout{Revision: f.Revision, AcceptedAt: f.AcceptedAt}
+	for _, k := range []balsampier.Role{balsampier.RoleBalancer, balsampier.RoleAgent} {
+		c := RoleRollout{Role: k}
+		for _, a := range as {
+			switch {
+			case a.Member.Role != k:
+				continue
+			case a.Revision >= f.Revision:
+				c.InForce++
+			default:
+				r.Lagging = append(r.Lagging, Lagging{Applied: a, Behind: behind(f, t)})
+			}
+			c.Total++
+		}
+		if c.Total > 0 {
+			r.Roles = append(r.Roles, c)
+		}
+	}
+	slices.SortFunc(r.Lagging, func(x, y Lagging) int {
+		return cmp.Or(cmp.Compare(x.Revision, y.Revision), x.Since.Compare(y.Since), cmp.Compare(x.Member.ID, y.Member.ID))
+	})
+	if k := len(r.Lagging) - n; k > 0 {
+		r.Omitted, r.Lagging = k, slices.Clone(r.Lagging[:n])
+	}
+	return r
+}
+
+func behind(f balsampier.RuleFile, t time.Time) time.Duration { return max(t.Sub(f.AcceptedAt), 0) }
