--- /dev/null
+++ b/bench/control/fleet.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/peer/peerpb"
+	"github.com/balsampier/balsampier/query/members"
+)
+
+const (
+	dataCentres = 11
+	// lostDataCentre is the one that is lost.
+	lostDataCentre = "dataCentre03"
+	// The large size has one balancer for agentsPerBalancer agents and one
+	// service for agentsPerService.
+	agentsPerBalancer = 11
+	agentsPerService  = 3
+)
+
+// start is the time at which all runs begin.
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// fleet is a view with a rule file for its services.
+type fleet struct {
+	// agents is the number of agents.
+	agents int
+	view   balsampier.View
+	rules  balsampier.RuleFile
+}
+
+func newFleet(n int, r *rand.Rand) fleet {
+	f := fleet{agents: n, view: balsampier.View{Epoch: 1}}
+	for i := range n {
+		f.add(balsampier.RoleAgent, i, r)
+	}
+	for i := range max(n/agentsPerBalancer, 1) {
+		f.add(balsampier.RoleBalancer, i, r)
+	}
+	slices.SortFunc(f.view.Members, func(a, b balsampier.Member) int { return cmp.Compare(a.ID, b.ID) })
+	var t strings.Builder
+	for i := range max(n/agentsPerService, 1) {
+		_, _ = fmt.Fprintf(&t, "rule %s to 198.51.%d.%d:443 from 0.0.0.0/0 mon-sat 08:00-20:00 America/Lima # asked by Rosa, opening hours\n",
+			service(i), i/250, i%250+1)
+	}
+	f.rules = balsampier.RuleFile{Revision: 1, Text: t.String(), AcceptedAt: start}
+	return f
+}
+
+func (f *fleet) add(k balsampier.Role, i int, r *rand.Rand) {
+	name := fmt.Sprintf("%s%05d.dataCentre%02d", k, i, i%dataCentres)
+	m := balsampier.Member{
+		ID: balsampier.NewInstanceID(name), Name: name, Role: k,
+		Incarnation: balsampier.Incarnation(start.Unix() - r.Int64N(100_000)),
+		DataCentre:  balsampier.DataCentre(fmt.Sprintf("dataCentre%02d", i%dataCentres)),
+		Addr:        address(i, 7000),
+	}
+	if k == balsampier.RoleAgent {
+		m.PeerAddr, m.Service, m.Slots = address(i, 7001), service(i/agentsPerService), 5
+	}
+	f.view.Members = append(f.view.Members, m)
+}
+
+func service(i int) balsampier.ServiceName {
+	return balsampier.ServiceName(fmt.Sprintf("service%04d", i))
+}
+
+func address(i int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), port)
+}
+
+// watcher returns a member of the role outside of the data centre that is
+// lost.
+func (f *fleet) watcher(k balsampier.Role) balsampier.Member {
+	i := slices.IndexFunc(f.view.Members, func(m balsampier.Member) bool {
+		return m.Role == k && m.DataCentre != lostDataCentre
+	})
+	return f.view.Members[i]
+}
+
+// wireSizes are lengths in the encoding between the processes.
+var wireSizes = members.Sizes{
+	Member: func(m balsampier.Member) int { return field(proto.Size(encodeMember(m))) },
+	File: func(f balsampier.RuleFile) int {
+		p := &peerpb.RuleFile{Revision: uint64(f.Revision), SubmissionId: f.Submission[:], AcceptedAtUnixNanos: f.AcceptedAt.UnixNano()}
+		for _, z := range f.Zones {
+			p.Zones = append(p.Zones, encodeZone(z))
+		}
+		return field(proto.Size(p)) + field(8)
+	},
+	Removed: 10,
+	Load: field(proto.Size(&peerpb.Load{
+		Instance: 1 << 63, Running: 5, Queued: 100, Connections: 2000, Slots: 5, SinceUnixNanos: start.UnixNano(),
+	})),
+	Message: 32,
+}
+
+// field is the length of an embedded message of n bytes.
+func field(n int) int {
+	if n < 128 {
+		return n + 2
+	}
+	return n + 3
+}
+
+func encodeMember(m balsampier.Member) *peerpb.Member {
+	a, _ := m.Addr.MarshalBinary()
+	p, _ := m.PeerAddr.MarshalBinary()
+	return &peerpb.Member{
+		Id: uint64(m.ID), Name: m.Name, Role: uint32(m.Role), Incarnation: uint32(m.Incarnation), DataCentre: string(m.DataCentre),
+		Addr: a, PeerAddr: p, Service: string(m.Service), Slots: uint32(m.Slots), Draining: m.Draining,
+	}
+}
+
+func encodeZone(z balsampier.ZoneTable) *peerpb.ZoneTable {
+	p := &peerpb.ZoneTable{Zone: z.Zone}
+	for _, t := range z.Transitions {
+		p.Transitions = append(p.Transitions, &peerpb.Transition{AtUnixSeconds: t.At.Unix(), OffsetSeconds: int32(t.Offset / time.Second)})
+	}
+	return p
+}
