--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -51,19 +53,40 @@
 	if err != nil {
 		return balsampier.NewError(balsampier.KindInvalid, "read settings "+path, "give a readable file with --config", err)
 	}
-	d := yaml.NewDecoder(bytes.NewReader(b))
-	d.KnownFields(true)
-	if err := d.Decode(s); err != nil && !errors.Is(err, io.EOF) {
+	var f Faults
+	if err := decode(b, s, &f); err != nil {
 		return balsampier.NewError(balsampier.KindInvalid, "read settings "+path, "correct the lines named; docs/CONFIG.md lists the keys", err)
 	}
 	s.SetDefaults()
-	var f Faults
 	s.Check(&f)
 	return f.Err(path)
 }
 
-// Add records a fault.
+func decode(b []byte, s Checker, f *Faults) error {
+	var n yaml.Node
+	if err := yaml.Unmarshal(b, &n); err != nil {
+		return trace.Wrap(err)
+	}
+	f.clearAddrs(&n, reflect.TypeOf(s), "")
+	if len(f.list) > 0 {
+		var err error
+		if b, err = yaml.Marshal(&n); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	d := yaml.NewDecoder(bytes.NewReader(b))
+	d.KnownFields(true)
+	if err := d.Decode(s); !errors.Is(err, io.EOF) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// Add records a fault; a key that has one already gets no second.
 func (f *Faults) Add(key, value, remedy string) {
+	if slices.ContainsFunc(f.list, func(v Fault) bool { return v.Key == key }) {
+		return
+	}
 	f.list = append(f.list, Fault{Key: key, Value: value, Remedy: remedy})
 }
 
