--- a/command/replicate/replicate.go
+++ b/command/replicate/replicate.go
@@ -18,6 +18,7 @@
 package replicate
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -59,6 +60,8 @@
 		MaxInflight int
 		// MaxBatch and MaxBatchSize (bytes) bound one append.
 		MaxBatch, MaxBatchSize int
+		// MaxEntrySize (bytes) bounds one entry.
+		MaxEntrySize int
 		// MaxReads bounds the reads that wait for confirmation.
 		MaxReads int
 		// SnapshotEvery is the number of applied entries after which a
@@ -156,6 +159,7 @@
 		{&g.MaxInflight, 1024},
 		{&g.MaxBatch, 256},
 		{&g.MaxBatchSize, 1 << 20},
+		{&g.MaxEntrySize, 8 << 20},
 		{&g.MaxReads, 4096},
 		{&g.SnapshotEvery, 128},
 		{&g.KeepEntries, 256},
@@ -206,7 +210,11 @@
 // Propose adds an entry. It is committed once an entry with the returned
 // index and term comes out; another term at that index means that it is lost.
 func (n *Node) Propose(data []byte) (balsampier.Index, balsampier.Term, error) {
-	if err := n.mayPropose("propose entry"); err != nil {
+	const op = "propose entry"
+	if len(data) > n.g.MaxEntrySize {
+		return 0, 0, invalid(op, fmt.Sprintf("keep entries under %d bytes", n.g.MaxEntrySize))
+	}
+	if err := n.mayPropose(op); err != nil {
 		return 0, 0, err
 	}
 	return n.push(balsampier.Entry{Kind: balsampier.EntryCommand, Data: data}), n.hard.Term, nil
@@ -291,3 +299,19 @@
 func invalid(op, remedy string) error {
 	return balsampier.NewError(balsampier.KindInvalid, op, remedy, nil)
 }
+
+// String returns the name of the role as it stands in dumps.
+func (r Role) String() string {
+	switch r {
+	case RoleFollower:
+		return "follower"
+	case RolePreCandidate:
+		return "preCandidate"
+	case RoleCandidate:
+		return "candidate"
+	case RoleLeader:
+		return "leader"
+	default:
+		return "unknown"
+	}
+}
--- a/disk/encode.go
+++ b/disk/encode.go
@@ -6,6 +6,10 @@
 	"github.com/balsampier/balsampier"
 )
 
+// workRecordBytes is the size that a record of several entries stays below,
+// but for the frames of the entries.
+const workRecordBytes = MaxRecordBytes / 4
+
 const (
 	// kindHeader records start a segment.
 	kindHeader byte = iota + 1
@@ -63,6 +67,23 @@
 	return b
 }
 
+// encodeWorks spreads the entries over records of about workRecordBytes.
+func encodeWorks(h *balsampier.HardState, es []balsampier.Entry) [][]byte {
+	var rs [][]byte
+	for {
+		k, size := 0, 0
+		for k < len(es) && (k == 0 || size+len(es[k].Data) <= workRecordBytes) {
+			size += len(es[k].Data)
+			k++
+		}
+		rs = append(rs, encodeWork(h, es[:k]))
+		h, es = nil, es[k:]
+		if len(es) == 0 {
+			return rs
+		}
+	}
+}
+
 func decodeWork(b []byte) (h *balsampier.HardState, es []balsampier.Entry, ok bool) {
 	r := reader{b: b}
 	ok = r.byte() == kindWork
--- a/disk/store.go
+++ b/disk/store.go
@@ -125,11 +125,16 @@
 	if w.Hard == nil && len(w.Entries) == 0 {
 		return nil
 	}
-	if err := s.log.Append(encodeWork(w.Hard, w.Entries)); err != nil {
-		return err
+	for _, r := range encodeWorks(w.Hard, w.Entries) {
+		if err := s.log.Append(r); err != nil {
+			return err
+		}
+		s.syncs++
+		if err := s.log.Sync(); err != nil {
+			return err
+		}
 	}
-	s.syncs++
-	return s.log.Sync()
+	return nil
 }
 
 // put replaces everything from the first of es on.
@@ -193,7 +198,9 @@
 	h := header{disk: s.disk, reset: reset}
 	b := appendRecord(nil, 0, encodeHeader(h))
 	if reset {
-		b = appendRecord(b, int64(len(b)), encodeWork(&s.hard, s.entries))
+		for _, r := range encodeWorks(&s.hard, s.entries) {
+			b = appendRecord(b, int64(len(b)), r)
+		}
 	}
 	name := fmt.Sprintf(segmentPattern, s.number+1)
 	if err := s.writeFile(name, b); err != nil {
--- a/disk/store_test.go
+++ b/disk/store_test.go
@@ -81,6 +81,66 @@
 	})
 }
 
+// TestSnapshotCrash stops a save with a snapshot after each of its steps: the
+// snapshot was written, then the new segment, then old segments went.
+func TestSnapshotCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := qt.New(rapidTB{T: t})
+		folder, err := os.MkdirTemp("", "store")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = os.RemoveAll(folder) }()
+		s, _, err := OpenStore(folder, newRandom())
+		c.Assert(err, qt.IsNil)
+		s.maxSegment = 200
+		w := drawWork(t, s)
+		for i := rapid.IntRange(1, 15).Draw(t, "saves"); i > 0; i-- {
+			c.Assert(s.Save(w), qt.IsNil)
+			w = drawWork(t, s)
+		}
+		for w.Snapshot == nil {
+			w = drawWork(t, s)
+		}
+		old := readFolder(c, folder)
+		before := s.stored()
+		c.Assert(s.Save(w), qt.IsNil)
+		after := s.stored()
+		c.Assert(s.Close(), qt.IsNil)
+		files := readFolder(c, folder)
+		step := rapid.IntRange(0, 2).Draw(t, "step")
+		for name, b := range old {
+			_, kept := files[name]
+			if (!kept && step < 2) || (step == 2 && !kept && rapid.Bool().Draw(t, "came back")) {
+				c.Assert(os.WriteFile(filepath.Join(folder, name), b, filePerm), qt.IsNil)
+			}
+		}
+		want := after
+		if step == 0 {
+			want.Hard = before.Hard
+			for name := range files {
+				if _, ok := old[name]; !ok && name != snapshotName {
+					c.Assert(os.Remove(filepath.Join(folder, name)), qt.IsNil)
+				}
+			}
+		}
+		s, got, err := OpenStore(folder, newRandom())
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.DeepEquals, want)
+		c.Assert(s.Close(), qt.IsNil)
+	})
+}
+
+func readFolder(c *qt.C, folder string) map[string][]byte {
+	ps, err := filepath.Glob(filepath.Join(folder, "*"))
+	c.Assert(err, qt.IsNil)
+	files := make(map[string][]byte)
+	for _, p := range ps {
+		b, err := os.ReadFile(p)
+		c.Assert(err, qt.IsNil)
+		files[filepath.Base(p)] = b
+	}
+	return files
+}
+
 func (s *Store) stored() balsampier.StoredLog {
 	return balsampier.StoredLog{
 		Disk: s.disk, Hard: s.hard, Snapshot: s.snapshot, Entries: append([]balsampier.Entry(nil), s.entries...),
@@ -95,8 +155,11 @@
 	}
 	if rapid.IntRange(0, 5).Draw(t, "snapshot") == 0 {
 		i := rapid.Uint64Range(uint64(s.snapshot.Index)+1, uint64(last)+5).Draw(t, "at")
-		w.Reset = balsampier.Index(i) > last
 		w.Snapshot = &balsampier.Snapshot{Index: balsampier.Index(i), Term: 1, Data: []byte("state")}
+		w.Reset = balsampier.Index(i) > last || rapid.Bool().Draw(t, "reset")
+		if w.Reset {
+			w.Snapshot.Term = 2
+		}
 		return w
 	}
 	from := rapid.Uint64Range(uint64(s.snapshot.Index)+1, uint64(last)+1).Draw(t, "from")
@@ -240,3 +303,32 @@
 		c.Assert(again, qt.DeepEquals, got)
 	})
 }
+
+// TestSaveLarge saves more in one work than a record holds.
+func TestSaveLarge(t *testing.T) {
+	tests := []struct {
+		name    string
+		entries int
+		size    int
+	}{{"many", 24, 1 << 20}, {"few large ones", 3, 8 << 20}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			folder := t.TempDir()
+			s, _, err := OpenStore(folder, newRandom())
+			c.Assert(err, qt.IsNil)
+			w := balsampier.LogWork{Hard: &balsampier.HardState{Term: 1}}
+			for i := range tt.entries {
+				w.Entries = append(w.Entries, balsampier.Entry{Term: 1, Index: balsampier.Index(i + 1), Data: make([]byte, tt.size)})
+			}
+			c.Assert(s.Save(w), qt.IsNil)
+			c.Assert(s.Save(balsampier.LogWork{Snapshot: &balsampier.Snapshot{Index: 1, Term: 1}}), qt.IsNil)
+			c.Assert(s.Close(), qt.IsNil)
+			s, got, err := OpenStore(folder, newRandom())
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.Hard.Term, qt.Equals, balsampier.Term(1))
+			c.Assert(got.Entries, qt.HasLen, tt.entries-1)
+			c.Assert(s.Close(), qt.IsNil)
+		})
+	}
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -84,6 +84,14 @@
 		Close() error
 	}
 
+	// LogStore keeps the replicated log of one replica.
+	LogStore interface {
+		// Save makes w durable before it returns.
+		Save(w LogWork) error
+		// Close releases the store.
+		Close() error
+	}
+
 	// ControlClient speaks to the control instances.
 	ControlClient interface {
 		// Renew announces m, renews its lease and reports r as in force.
--- a/replica.go
+++ b/replica.go
@@ -93,14 +93,6 @@
 		// Entries replace all stored entries from the first one's index on.
 		Entries []Entry
 	}
-
-	// LogStore keeps the replicated log of one replica.
-	LogStore interface {
-		// Save makes w durable before it returns.
-		Save(w LogWork) error
-		// Close releases the store.
-		Close() error
-	}
 )
 
 // IsZero reports whether r names no replica.
