feat: claim non-idempotent requests at two holders before the first byte

Cause: a resend may reach any agent, and agents die, freeze and are cut off, so a key must be held by more than one agent and outlive membership changes. Change: command/claim has the machines: Runner (claims one holder after the other, checks epoch and lease before the first byte), Holder (table of claims), Epochs (a member's epoch and lease), Activation (control's part: published, sealed, active). Package bench/requests joins them in a fleet whose messages are late, repeated, reordered and lost. Epochs are sealed and copied before they are active, so that a published epoch that never served can be skipped.

--- /dev/null
+++ b/bench/requests/fleet.go
@@ -0,0 +1,356 @@
+package requests
+
+import (
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/answer"
+	"github.com/balsampier/balsampier/command/claim"
+)
+
+const (
+	fleetAgents    = 5
+	fleetLease     = 2 * time.Second
+	fleetRetention = 30 * time.Second
+	fleetSkew      = 200 * time.Millisecond
+	// fleetMessages bounds the messages in flight; the oldest are lost.
+	fleetMessages = 400
+	// fleetKeys is how many recent keys may be sent again.
+	fleetKeys = 6
+)
+
+type (
+	// Chooser draws the next choice of a run.
+	Chooser interface {
+		// IntN returns a number in [0, n).
+		IntN(n int) int
+	}
+
+	// Fleet is the agents of one service and control, as state machines that
+	// are joined by messages which may be late, repeated, reordered or lost.
+	Fleet struct {
+		pick    Chooser
+		now     time.Time
+		agents  []*fleetAgent
+		control *claim.Activation
+		// members are those of the newest published group.
+		members []balsampier.Holder
+		group   claim.Group
+		// epoch numbers of control at its last advance.
+		sealed, active balsampier.Epoch
+		mail           []letter
+		keys           []balsampier.RequestKey
+		issued         uint64
+		// runs counts how often the first byte of each request went out.
+		runs map[balsampier.RequestKey]int
+		// bodies holds what the backend server answered to each request.
+		bodies map[balsampier.RequestKey]string
+		room   int
+		// Faults lists every broken promise that was seen.
+		Faults []string
+		// Stats counts what happened, so that a run without any of it shows.
+		Stats FleetStats
+	}
+
+	// FleetStats counts what happened in a run.
+	FleetStats struct {
+		Epochs, Deaths, Cuts, Freezes, Runs, NotRun, Unknown, Full, Held, Stored int
+	}
+
+	// letter is one message; the zero Holder stands for control.
+	letter struct {
+		from, to balsampier.Holder
+		body     any
+	}
+
+	renewal struct {
+		acknowledged, complete balsampier.Epoch
+		at                     time.Time
+	}
+
+	renewed struct {
+		sent           time.Time
+		sealed, active balsampier.Epoch
+		group          claim.Group
+	}
+)
+
+// Add sums up s and x.
+func (s *FleetStats) Add(x FleetStats) {
+	s.Epochs += x.Epochs
+	s.Deaths += x.Deaths
+	s.Cuts += x.Cuts
+	s.Freezes += x.Freezes
+	s.Runs += x.Runs
+	s.NotRun += x.NotRun
+	s.Unknown += x.Unknown
+	s.Full += x.Full
+	s.Held += x.Held
+	s.Stored += x.Stored
+}
+
+// NewFleet returns a fleet of agents that have not joined yet.
+func NewFleet(p Chooser) *Fleet {
+	f := &Fleet{
+		pick: p, now: time.UnixMilli(1_800_000_000_000), control: claim.NewActivation(),
+		runs: make(map[balsampier.RequestKey]int), bodies: make(map[balsampier.RequestKey]string),
+		room: fleetAgents + p.IntN(2)*1000,
+	}
+	for i := range fleetAgents {
+		a := &fleetAgent{self: balsampier.Holder{Instance: balsampier.InstanceID(i + 1)}}
+		a.skew = time.Duration(p.IntN(3)-1) * fleetSkew / 2
+		f.agents = append(f.agents, a)
+		f.restart(a)
+	}
+	f.publish()
+	f.Settle(4)
+	return f
+}
+
+// Step does one thing at random.
+func (f *Fleet) Step() {
+	a := f.agents[f.pick.IntN(len(f.agents))]
+	switch n := f.pick.IntN(100); {
+	case n < 20:
+		f.deliver()
+	case n < 38:
+		f.Settle(1 + f.pick.IntN(6))
+	case n < 50:
+		f.send(a)
+	case n < 64:
+		f.begin(a)
+	case n < 67:
+		f.finish(a)
+	case n < 71:
+		f.refuse(a)
+	case n < 80:
+		f.pass(time.Duration(1+f.pick.IntN(15)) * 100 * time.Millisecond)
+	case n < 90:
+		f.publish()
+	default:
+		f.fail(a, n)
+	}
+}
+
+// fail lets the agent, or several, fail or recover.
+func (f *Fleet) fail(a *fleetAgent, n int) {
+	switch {
+	case n < 93 && a.dead:
+		f.restart(a)
+	case n < 93:
+		a.dead = true
+		f.Stats.Deaths++
+	case n < 94:
+		a.frozen = !a.frozen
+		f.Stats.Freezes++
+	case n < 95:
+		a.apart = !a.apart
+		f.Stats.Cuts++
+	case n < 97:
+		f.cutPair()
+		f.lapse()
+	case n < 99:
+		f.heal()
+	default:
+		f.drop()
+	}
+}
+
+// cutPair cuts the holders of a recent key and one more agent off.
+func (f *Fleet) cutPair() {
+	if len(f.keys) == 0 {
+		return
+	}
+	p := claim.Pair(f.group.Holders, f.keys[len(f.keys)-1])
+	extra := f.pick.IntN(len(f.agents))
+	for i, a := range f.agents {
+		a.apart = i == extra || slices.Contains(p, a.self)
+	}
+	f.Stats.Cuts++
+}
+
+// lapse lets the leases of those that cannot reach control run out, and the
+// others go on without them.
+func (f *Fleet) lapse() {
+	for range 2 + f.pick.IntN(3) {
+		f.pass(fleetLease * 3 / 4)
+		f.publish()
+		f.Settle(4)
+	}
+}
+
+func (f *Fleet) heal() {
+	for _, a := range f.agents {
+		a.apart, a.frozen = false, false
+	}
+}
+
+func (f *Fleet) restart(a *fleetAgent) {
+	a.self.Incarnation++
+	a.dead, a.frozen = false, false
+	a.epochs = claim.NewEpochs(a.self)
+	s := claim.Settings{Retention: fleetRetention, MaxSkew: fleetSkew, MaxClaims: f.room}
+	a.holder = claim.NewHolder(a.self, s, a.epochs)
+	a.attempts, a.runners = new(claim.Attempts), nil
+	a.answers = answer.New(answer.Settings{
+		Retention: fleetRetention, MaxEntries: 50, MaxBytes: 1000, MaxAnswer: 100, MaxWaiters: 2,
+	})
+}
+
+func (f *Fleet) pass(d time.Duration) { f.now = f.now.Add(d) }
+
+// publish removes lapsed members and adds agents that are in reach.
+func (f *Fleet) publish() {
+	var next []balsampier.Holder
+	for _, a := range f.agents {
+		old := slices.Contains(f.members, a.self)
+		joins := !old && !a.dead && !a.apart && !a.frozen
+		if joins || (old && !f.control.Lapsed(a.self, f.now)) {
+			next = append(next, a.self)
+		}
+	}
+	if !slices.Equal(next, f.members) {
+		f.members = next
+		f.group = f.control.Publish(next, next)
+		f.Stats.Epochs++
+	}
+}
+
+func (f *Fleet) post(from, to balsampier.Holder, body any) {
+	f.mail = append(f.mail, letter{from: from, to: to, body: body})
+	if len(f.mail) > fleetMessages {
+		f.mail = f.mail[len(f.mail)-fleetMessages:]
+	}
+}
+
+func (f *Fleet) drop() {
+	if len(f.mail) > 0 {
+		i := f.pick.IntN(len(f.mail))
+		f.mail = slices.Delete(f.mail, i, i+1)
+	}
+}
+
+// deliver hands over one letter at random; one in four stays to come again.
+func (f *Fleet) deliver() {
+	if len(f.mail) == 0 {
+		return
+	}
+	i := f.pick.IntN(len(f.mail))
+	l := f.mail[i]
+	if f.pick.IntN(4) > 0 {
+		f.mail = slices.Delete(f.mail, i, i+1)
+	}
+	f.handle(l)
+}
+
+// Settle lets every agent do its periodic work and delivers all letters, n
+// times.
+func (f *Fleet) Settle(n int) {
+	for range n {
+		for _, a := range f.agents {
+			f.work(a)
+		}
+		ls := f.mail
+		f.mail = nil
+		for _, l := range ls {
+			f.handle(l)
+		}
+	}
+}
+
+func (f *Fleet) find(h balsampier.Holder) *fleetAgent {
+	for _, a := range f.agents {
+		if a.self == h && !a.dead && !a.frozen {
+			return a
+		}
+	}
+	return nil
+}
+
+// cut reports whether the two sides cannot reach each other now.
+func (f *Fleet) cut(x, y balsampier.Holder) bool {
+	return f.apart(x) != f.apart(y)
+}
+
+func (f *Fleet) apart(h balsampier.Holder) bool {
+	return h.Instance != 0 && f.agents[h.Instance-1].apart
+}
+
+func (f *Fleet) handle(l letter) {
+	if f.cut(l.from, l.to) {
+		return
+	}
+	if l.to.IsZero() {
+		f.handleControl(l)
+		return
+	}
+	a := f.find(l.to)
+	if a == nil {
+		return
+	}
+	f.receive(a, l)
+}
+
+func (f *Fleet) handleControl(l letter) {
+	b, ok := l.body.(renewal)
+	if !ok || !slices.Contains(f.members, l.from) {
+		return
+	}
+	f.control.Renew(l.from, b.acknowledged, b.complete, f.now.Add(fleetLease))
+	f.sealed, f.active = f.control.Advance(f.now)
+	f.post(balsampier.Holder{}, l.from, renewed{sent: b.at, sealed: f.sealed, active: f.active, group: f.group})
+}
+
+func (f *Fleet) newKey() balsampier.RequestKey {
+	f.issued++
+	at := f.now.Add(time.Duration(f.pick.IntN(3)-1) * fleetSkew / 2)
+	k := NewKey(at, f.issued)
+	f.keys = append(f.keys, k)
+	if len(f.keys) > fleetKeys {
+		f.keys = f.keys[1:]
+	}
+	return k
+}
+
+// NewKey returns a UUIDv7 that was issued at t.
+func NewKey(t time.Time, n uint64) balsampier.RequestKey {
+	var k uuid.UUID
+	m := uint64(t.UnixMilli())
+	for i := range 6 {
+		k[i] = byte(m >> (40 - 8*i))
+	}
+	k[6], k[8] = 0x70, 0x80
+	for i := range 7 {
+		k[15-i] = byte(n >> (8 * i))
+	}
+	return k
+}
+
+// Serves heals everything and reports whether, once the old claims are
+// forgotten, a new request at each agent is run.
+func (f *Fleet) Serves() bool {
+	f.heal()
+	for _, a := range f.agents {
+		if a.dead {
+			f.restart(a)
+		}
+	}
+	f.pass(fleetRetention + 2*fleetSkew)
+	for range 8 {
+		f.pass(fleetLease / 2)
+		f.publish()
+		f.Settle(6)
+	}
+	for _, a := range f.agents {
+		r := f.offer(a, f.newKey())
+		f.Settle(6)
+		if r == nil || !r.run.Begin(a.epochs, f.now) {
+			return false
+		}
+		f.run(a, r)
+	}
+	return true
+}
--- /dev/null
+++ b/bench/requests/requests_test.go
@@ -0,0 +1,43 @@
+package requests
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestMeasuresKeepTheirBounds(t *testing.T) {
+	tests := []struct {
+		name     string
+		measures func() []Measure
+	}{
+		{"claims", func() []Measure { return Claims(1, 50) }},
+		{"floods", func() []Measure { return floodsAt(policies[0], serverSteady, floods, 1, 1, true) }},
+		{"floodsAtSheddingServer", func() []Measure { return floodsAt(policies[0], serverShedding, floods, 1, 1, true) }},
+		{"floodsAtColdServer", func() []Measure { return floodsAt(policies[0], serverCold, floods[4:], 1, 1, true) }},
+		{"floodsAtSlowServer", func() []Measure { return floodsAt(policies[0], serverSlow, floods[4:], 1, 1, true) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			for _, m := range tt.measures() {
+				c.Check(m.OK(), qt.IsTrue, qt.Commentf("%s", m))
+			}
+		})
+	}
+}
+
+// TestBoundsCanFail keeps the flood measure honest: the baselines miss it.
+func TestBoundsCanFail(t *testing.T) {
+	for _, p := range policies[1:] {
+		t.Run(p.name, func(t *testing.T) {
+			failed := 0
+			for _, m := range floodsAt(p, serverSteady, floods[:1], 1, 1, true) {
+				if !m.OK() {
+					failed++
+				}
+			}
+			qt.New(t).Assert(failed > 0, qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/command/claim/epochs.go
@@ -0,0 +1,67 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+// leaseMargin is the share of a lease that a member gives up for the drift of
+// its clock against control's: one in leaseMargin.
+const leaseMargin = 10
+
+// Epochs is what a member knows of the epochs of its service, and its lease.
+type Epochs struct {
+	self balsampier.Holder
+	// group is the newest published group; adopting it acknowledges it.
+	group Group
+	// sealed and active only grow.
+	sealed, active balsampier.Epoch
+	// lease is when the lease ends by the member's own clock.
+	lease time.Time
+}
+
+// NewEpochs returns the state of a member that knows nothing yet.
+func NewEpochs(self balsampier.Holder) *Epochs { return &Epochs{self: self} }
+
+// Publish adopts g if it is newer and reports whether it was. From then on
+// the member neither grants nor starts on grants of an earlier epoch.
+func (e *Epochs) Publish(g Group) bool {
+	if g.Epoch <= e.group.Epoch {
+		return false
+	}
+	e.group = g
+	return true
+}
+
+// Advance takes what control says of the epochs: s is sealed, a is active.
+func (e *Epochs) Advance(s, a balsampier.Epoch) {
+	e.sealed, e.active = max(e.sealed, s), max(e.active, a)
+}
+
+// Renewed takes the answer to a renewal sent at time s: a lease of length d
+// and the sealed and active epochs. The lease counts only for a member that
+// has acknowledged the sealed epoch, since control waits for no other.
+func (e *Epochs) Renewed(s time.Time, d time.Duration, sealed, active balsampier.Epoch) {
+	e.Advance(sealed, active)
+	end := s.Add(d - d/leaseMargin)
+	if e.group.Epoch >= e.sealed && end.After(e.lease) {
+		e.lease = end
+	}
+}
+
+// Acknowledged returns the epoch to acknowledge to control.
+func (e *Epochs) Acknowledged() balsampier.Epoch { return e.group.Epoch }
+
+// Group returns the newest published group.
+func (e *Epochs) Group() Group { return e.group }
+
+// Sealed reports whether no grant of an earlier epoch can be made any more.
+func (e *Epochs) Sealed() bool { return e.group.Epoch > 0 && e.sealed >= e.group.Epoch }
+
+// Valid reports whether the member may act for epoch p at time t.
+func (e *Epochs) Valid(p balsampier.Epoch, t time.Time) bool {
+	return e.group.Epoch == p && e.active == p && t.Before(e.lease) &&
+		slices.Contains(e.group.Members, e.self)
+}
--- /dev/null
+++ b/command/claim/holder.go
@@ -0,0 +1,153 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+type (
+	// Holder keeps the claims of the keys whose pair the agent belongs to.
+	Holder struct {
+		self     balsampier.Holder
+		settings Settings
+		epochs   *Epochs
+		// claims has at most MaxClaims granted ones, and twice that with
+		// copied ones.
+		claims map[balsampier.RequestKey]record
+		// released counts the released claims.
+		released int
+		// floor is the time of issue below which a key without a claim may
+		// have been claimed before; it only grows.
+		floor time.Time
+		// complete is the newest epoch for which the table is whole.
+		complete balsampier.Epoch
+		// base is the newest active epoch for which the table was whole.
+		base balsampier.Epoch
+		// copying is the epoch that got and gone belong to.
+		copying balsampier.Epoch
+		// got holds the base holders whose claims are in the table.
+		got []balsampier.Holder
+		// gone holds the base holders that have no whole table.
+		gone []balsampier.Holder
+	}
+
+	record struct {
+		runner   balsampier.Holder
+		attempt  Attempt
+		released bool
+	}
+)
+
+// NewHolder returns a holder without claims. The settings are checked ones.
+func NewHolder(self balsampier.Holder, s Settings, e *Epochs) *Holder {
+	return &Holder{self: self, settings: s, epochs: e, claims: make(map[balsampier.RequestKey]record)}
+}
+
+// Claim decides on c at time t.
+func (h *Holder) Claim(c Claim, t time.Time) Reply {
+	r := Reply{Epoch: c.Epoch, Key: c.Key, From: h.self, Attempt: c.Attempt}
+	r.Decision, r.Runner = h.decide(c, t)
+	return r
+}
+
+func (h *Holder) decide(c Claim, t time.Time) (Decision, balsampier.Holder) {
+	var none balsampier.Holder
+	if !h.grants(c, t) {
+		return DecisionNotReady, none
+	}
+	issued := IssuedAt(c.Key)
+	if issued.After(t.Add(h.settings.MaxSkew)) {
+		return DecisionEarly, none
+	}
+	if t.After(issued.Add(h.settings.Retention)) {
+		return DecisionForgotten, none
+	}
+	old, ok := h.claims[c.Key]
+	switch {
+	case ok && old.blocks(c):
+		return DecisionHeld, old.runner
+	case !issued.After(h.floor):
+		// A claim that does not block may be older than the one that was lost.
+		return DecisionForgotten, none
+	case c.Probe:
+		return DecisionAbsent, none
+	case !ok && !h.room():
+		return DecisionFull, none
+	}
+	h.put(c.Key, record{runner: c.Runner, attempt: c.Attempt})
+	return DecisionGranted, none
+}
+
+// room reports whether one more claim fits. Released claims give way: a late
+// message of their runner can then block the key, but nothing runs twice.
+func (h *Holder) room() bool {
+	if len(h.claims) >= h.settings.MaxClaims && h.released > 0 {
+		for k, r := range h.claims {
+			if r.released {
+				h.drop(k)
+			}
+		}
+	}
+	return len(h.claims) < h.settings.MaxClaims
+}
+
+func (h *Holder) put(k balsampier.RequestKey, r record) {
+	h.drop(k)
+	h.claims[k] = r
+	if r.released {
+		h.released++
+	}
+}
+
+func (h *Holder) drop(k balsampier.RequestKey) {
+	if h.claims[k].released {
+		h.released--
+	}
+	delete(h.claims, k)
+}
+
+// grants reports whether the holder is one of the pair and may grant now.
+func (h *Holder) grants(c Claim, t time.Time) bool {
+	return h.epochs.Valid(c.Epoch, t) && h.complete == c.Epoch &&
+		slices.Contains(Pair(h.epochs.group.Holders, c.Key), h.self)
+}
+
+// blocks reports whether the record keeps c from being granted. A runner that
+// claims again withdraws its earlier attempts from c.Since on.
+func (r record) blocks(c Claim) bool {
+	if r.runner != c.Runner {
+		return !r.released
+	}
+	if r.attempt > c.Attempt || r.attempt < c.Since {
+		return true
+	}
+	return r.released && r.attempt == c.Attempt
+}
+
+// Release withdraws a claim. A release of another runner or of an attempt
+// that the claim has left behind changes nothing.
+func (h *Holder) Release(r Release) {
+	old, ok := h.claims[r.Key]
+	if !ok || old.runner != r.Runner || old.attempt < r.Since || old.attempt > r.Attempt {
+		return
+	}
+	h.put(r.Key, record{runner: r.Runner, attempt: r.Attempt, released: true})
+}
+
+// Forget drops the claims of keys that no holder grants any more at time t.
+func (h *Holder) Forget(t time.Time) {
+	for k := range h.claims {
+		if t.After(IssuedAt(k).Add(h.settings.Retention + h.settings.MaxSkew)) {
+			h.drop(k)
+		}
+	}
+}
+
+// Complete returns the newest epoch for which the table is whole; control
+// makes an epoch active once its members report it.
+func (h *Holder) Complete() balsampier.Epoch { return h.complete }
+
+// Len returns the number of claims, released ones included.
+func (h *Holder) Len() int { return len(h.claims) }
