--- a/bench/requests/fleet.go
+++ b/bench/requests/fleet.go
@@ -296,10 +296,9 @@
 
 func (f *Fleet) handleControl(l letter) {
 	b, ok := l.body.(renewal)
-	if !ok || !slices.Contains(f.members, l.from) {
+	if !ok || !f.control.Renew(l.from, b.acknowledged, b.complete, f.now.Add(fleetLease)) {
 		return
 	}
-	f.control.Renew(l.from, b.acknowledged, b.complete, f.now.Add(fleetLease))
 	f.sealed, f.active = f.control.Advance(f.now)
 	f.post(balsampier.Holder{}, l.from, renewed{sent: b.at, sealed: f.sealed, active: f.active, group: f.group})
 }
--- a/command/claim/activation.go
+++ b/command/claim/activation.go
@@ -51,10 +51,11 @@
 }
 
 // Renew takes the renewal of h with the epochs it acknowledged and completed,
-// and extends its lease to time t.
-func (a *Activation) Renew(h balsampier.Holder, acknowledged, complete balsampier.Epoch, t time.Time) {
+// and extends its lease to time t. Where it returns false h is no member, and
+// must not be given a lease: sealing would not wait for it.
+func (a *Activation) Renew(h balsampier.Holder, acknowledged, complete balsampier.Epoch, t time.Time) bool {
 	if !slices.Contains(a.group.Members, h) && !slices.Contains(a.base.Members, h) {
-		return
+		return false
 	}
 	s := a.standings[h]
 	s.acknowledged, s.complete = max(s.acknowledged, acknowledged), max(s.complete, complete)
@@ -62,6 +63,7 @@
 		s.expires = t
 	}
 	a.standings[h] = s
+	return true
 }
 
 // Advance returns the sealed and the active epoch at time t.
