--- a/bench/control/control.go
+++ b/bench/control/control.go
@@ -80,6 +80,18 @@
 // at prints a measure of a fleet with n agents.
 func (b *bench) at(name string, n int, value, bound float64) {
 	b.print(fmt.Sprintf("control.%s.%d", name, n), value, bound)
+	b.remember(name, n, value)
+}
+
+// figure prints a value for which there is no bound.
+func (b *bench) figure(name string, n int, value float64) {
+	if b.err == nil {
+		_, b.err = fmt.Fprintf(b.w, "figure=control.%s.%d value=%.6g\n", name, n, value)
+	}
+	b.remember(name, n, value)
+}
+
+func (b *bench) remember(name string, n int, value float64) {
 	if _, ok := b.points[name]; !ok {
 		b.names = append(b.names, name)
 	}
--- a/bench/control/cost.go
+++ b/bench/control/cost.go
@@ -54,9 +54,15 @@
 		d.Alive.Set(i)
 	}
 	perSecond := seconds(lease.RenewInterval)
-	b.time("cost.digests.secondsPerSecond", f.agents, seconds(processorBound)*perSecond, func() {
+	b.time("cost.renewalInterval.seconds", f.agents, seconds(processorBound)*perSecond, func() {
 		_, _ = t.Digest(d, start)
 	})
+	// A published epoch makes every step look at all leases until it is
+	// active.
+	at := start.Add(lease.DefaultTerm + tick)
+	_, _ = t.Digest(d, at)
+	t.Committed(balsampier.View{Epoch: f.view.Epoch + 1, Members: f.view.Members})
+	b.time("cost.leaderStep.seconds", f.agents, seconds(processorBound)*seconds(tick), func() { t.Changes(at) })
 }
 
 // memory measures a view, its history and a rule file in a watcher.
