feat: list the members whose name another instance claims

Cause: the time of a conflict was recorded and never told.

Measured: go test -race of the package passes.

--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -234,6 +234,19 @@
 // Conflicts counts reports refused because two instances use one name.
 func (b *Table) Conflicts() uint64 { return b.conflicts }
 
+// Conflicting lists by ID the members whose name another instance claimed
+// within the last term.
+func (b *Table) Conflicting(t time.Time) []balsampier.Member {
+	var out []balsampier.Member
+	for _, l := range b.held {
+		if !l.conflictAt.IsZero() && t.Sub(l.conflictAt) < b.term {
+			out = append(out, l.member)
+		}
+	}
+	slices.SortFunc(out, func(x, y balsampier.Member) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
 // Rollouts lists what each member has in force, by ID.
 func (b *Table) Rollouts() []Rollout {
 	out := make([]Rollout, 0, len(b.held))
--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -376,6 +376,8 @@
 				_, err := l.Report(lease.Report{Member: m}, start)
 				c.Check(balsampier.KindOf(err), qt.Equals, k, qt.Commentf("report %d", i))
 			}
+			c.Check(l.Conflicting(start), qt.HasLen, 1)
+			c.Check(l.Conflicting(start.Add(lease.DefaultTerm)), qt.HasLen, 0)
 		})
 	}
 }
