feat: follow control by deltas within a byte budget

Cause: members were sent whole states, and counted their leases by a fixed period. Change: watch streams carry parts of deltas packed within watchBudget, with heartbeats and the word of a quorum; members follow by the follower and lease machines, are ready only on a confirmed state, and say when they are cut off; a stopped member tells control, so that its lease need not run out. Coarse loads left the watch stream: at 53 a second they took 245 s for 13,000 agents.

--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -148,7 +148,7 @@
 		return nil, err
 	}
 	a.session, err = control.NewSession(control.Options{
-		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: a.log,
+		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: a.log, Instances: len(s.Control),
 		Member: a.Member, Changed: a.changed,
 	})
 	if err != nil {
@@ -208,7 +208,9 @@
 	case <-c.Done():
 		return c.Err()
 	}
-	return a.shutdownEndpoints(c)
+	err := a.shutdownEndpoints(c)
+	a.session.Leave(c)
+	return err
 }
 
 // announce takes what the backend server says of itself.
--- a/cmd/agent/app/dump.go
+++ b/cmd/agent/app/dump.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/control"
 	"github.com/balsampier/balsampier/query/members"
 	"github.com/balsampier/balsampier/ring"
 )
@@ -25,7 +26,7 @@
 		Draining    bool                   `json:"draining"`
 		Revision    balsampier.Revision    `json:"revision"`
 		Epoch       balsampier.Epoch       `json:"epoch"`
-		LeaseUntil  time.Time              `json:"leaseUntil"`
+		Control     control.Status         `json:"control"`
 		Load        LoadDump               `json:"load"`
 		Streams     int64                  `json:"streams"`
 		Endpoints   []string               `json:"endpoints"`
@@ -54,7 +55,7 @@
 	m, _ := a.Member()
 	d := Dump{
 		Name: a.s.Name, DataCentre: a.s.DataCentre, Incarnation: a.self.Incarnation, Service: m.Service,
-		Draining: m.Draining, Revision: s.Rules.Revision, Epoch: s.View.Epoch, LeaseUntil: a.session.LeaseUntil(),
+		Draining: m.Draining, Revision: s.Rules.Revision, Epoch: s.View.Epoch, Control: a.session.Status(),
 		Load: LoadDump{Running: l.Running, Queued: l.Queued, Slots: l.Slots}, Streams: a.streams.Load(),
 		Members: members.Summarize(s.View),
 		Rings:   []ring.Stats{a.envelopes.Stats(), a.out.Stats(), a.admission.events.Stats()},
--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -124,7 +124,7 @@
 		}
 	}
 	b.session, err = control.NewSession(control.Options{
-		Client: l, Clock: k, Random: r, Logger: b.log,
+		Client: l, Clock: k, Random: r, Logger: b.log, Instances: len(s.Control),
 		Member: b.Member, Changed: b.changed,
 	})
 	if err != nil {
@@ -180,6 +180,7 @@
 	case <-t.C():
 	case <-c.Done():
 	}
+	b.session.Leave(c)
 	return nil
 }
 
--- a/cmd/balancer/app/dump.go
+++ b/cmd/balancer/app/dump.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/control"
 	"github.com/balsampier/balsampier/query/members"
 	"github.com/balsampier/balsampier/ring"
 )
@@ -19,7 +19,7 @@
 		Incarnation balsampier.Incarnation `json:"incarnation"`
 		Revision    balsampier.Revision    `json:"revision"`
 		Epoch       balsampier.Epoch       `json:"epoch"`
-		LeaseUntil  time.Time              `json:"leaseUntil"`
+		Control     control.Status         `json:"control"`
 		Draining    bool                   `json:"draining"`
 		Services    []string               `json:"services"`
 		Members     members.Summary        `json:"members"`
@@ -38,7 +38,7 @@
 	s := b.session.State()
 	d := Dump{
 		Name: b.s.Name, DataCentre: b.s.DataCentre, Incarnation: b.member.Incarnation,
-		Revision: s.Rules.Revision, Epoch: s.View.Epoch, LeaseUntil: b.session.LeaseUntil(),
+		Revision: s.Rules.Revision, Epoch: s.View.Epoch, Control: b.session.Status(),
 		Draining: b.draining.Load(), Members: members.Summarize(s.View),
 		Forwarded: b.counters.forwarded.Get(), Answered: b.counters.answered.Get(),
 		Rings: []ring.Stats{b.packets.Stats(), b.envelopes.Stats(), b.answers.Stats()},
--- a/cmd/bench/relay/relay.go
+++ b/cmd/bench/relay/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,7 @@
 		return err
 	}
 	defer stop()
+	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
 	var rateBare, rateBalancer float64
 	// The two take turns, so that both see the same machine.
 	for range rounds {
@@ -171,7 +173,7 @@
 	}
 	s := app.Settings{
 		Common:   settings.Common{Name: "balancer", LogLevel: "error"},
-		PeerAddr: serviceAddr, Services: []app.Service{{Addr: a, Bind: a}},
+		PeerAddr: serviceAddr, Control: []netip.AddrPort{serviceAddr}, Services: []app.Service{{Addr: a, Bind: a}},
 	}
 	s.SetDefaults()
 	b, err := app.New(s, k, random.System{}, key, client{balsampier.View{Epoch: 1, Members: []balsampier.Member{m}}})
@@ -194,9 +196,18 @@
 	return balsampier.Lease{Term: time.Minute, Epoch: l.v.Epoch}, nil
 }
 
+// Leave implements balsampier.ControlClient.
+func (l client) Leave(context.Context, balsampier.Holder) error { return nil }
+
 // Watch implements balsampier.ControlClient.
-func (l client) Watch(c context.Context, _ balsampier.InstanceID, f func(balsampier.Update)) error {
-	f(balsampier.Update{View: &l.v})
+func (l client) Watch(c context.Context, _ balsampier.WatchRequest, f func(balsampier.WatchMessage) error) error {
+	err := f(balsampier.WatchMessage{
+		Confirmed: true, Epoch: l.v.Epoch,
+		View: &balsampier.ViewPart{Delta: balsampier.ViewDelta{To: l.v.Epoch, Changed: l.v.Members}},
+	})
+	if err != nil {
+		return err
+	}
 	<-c.Done()
 	return c.Err()
 }
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/balsampier/balsampier/operator"
 	"github.com/balsampier/balsampier/peer"
 	"github.com/balsampier/balsampier/process"
+	"github.com/balsampier/balsampier/query/members"
 	"github.com/balsampier/balsampier/random"
 	"github.com/balsampier/balsampier/ring"
 	"github.com/balsampier/balsampier/settings"
@@ -28,6 +30,7 @@
 	batchSize    = 256
 	drainTimeout = 5 * time.Second
 	peerDepth    = 512
+	maxEarlier   = 8
 )
 
 type (
@@ -50,11 +53,19 @@
 		// peers has an entry for every other control instance.
 		peers map[balsampier.InstanceID]*peerLink
 
-		store     balsampier.LogStore
-		replica   replica
-		members   membership
-		state     state
-		status    atomic.Pointer[replicate.Status]
+		store   balsampier.LogStore
+		replica replica
+		leases  membership
+		state   state
+		status  atomic.Pointer[replicate.Status]
+		// confirmedAt is when the newest confirmation by a quorum was asked
+		// for; nil before the first.
+		confirmedAt atomic.Pointer[time.Time]
+		// active is the newest active epoch that is known.
+		active atomic.Uint64
+		// history is written by the apply thread.
+		history   *members.History
+		historyMu sync.RWMutex
 		published atomic.Pointer[published]
 	}
 
@@ -68,7 +79,9 @@
 	// published is an immutable state for queries.
 	published struct {
 		rules balsampier.RuleFile
-		view  balsampier.View
+		// earlier holds at most maxEarlier rule files before rules.
+		earlier []balsampier.RuleFile
+		view    balsampier.View
 		// applied is the index of the last entry in the state.
 		applied balsampier.Index
 		// changed is closed when a newer state is published.
@@ -123,8 +136,9 @@
 		commands:  ring.New[command]("commands", s.RingDepth, ring.Reject),
 		digests:   ring.New[lease.Digest]("digests", 1, ring.Block),
 		peers:     make(map[balsampier.InstanceID]*peerLink),
-		members:   newMembership(),
+		leases:    newMembership(),
 		state:     state{s: new(apply.State)},
+		history:   members.NewHistory(balsampier.View{}),
 	}
 	t.published.Store(&published{changed: make(chan struct{})})
 	g := replicate.Config{Instance: t.self, Election: s.ElectionTimeout, Random: r}
@@ -168,6 +182,7 @@
 		duty.New("apply", t.apply),
 		duty.New("keep leases", t.keepLeases),
 		duty.New("pass digests", t.passDigests),
+		duty.New("confirm", t.keepConfirmed),
 	}
 	for _, p := range t.peers {
 		ts = append(ts, duty.New("send to "+p.name, t.sendTo(p)))
--- a/cmd/control/app/apply.go
+++ b/cmd/control/app/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/apply"
@@ -104,9 +105,18 @@
 	if old.applied == t.state.applied {
 		return
 	}
-	t.published.Store(&published{
-		rules: t.state.s.Rules, view: t.state.s.View, applied: t.state.applied, changed: make(chan struct{}),
-	})
+	n := &published{
+		rules: t.state.s.Rules, earlier: old.earlier, view: t.state.s.View, applied: t.state.applied,
+		changed: make(chan struct{}),
+	}
+	if n.rules.Revision != old.rules.Revision {
+		n.earlier = append(slices.Clone(old.earlier), old.rules)
+		n.earlier = n.earlier[max(0, len(n.earlier)-maxEarlier):]
+	}
+	t.historyMu.Lock()
+	t.history.Add(n.view)
+	t.historyMu.Unlock()
+	t.published.Store(n)
 	close(old.changed)
 }
 
--- a/cmd/control/app/handler.go
+++ b/cmd/control/app/handler.go
@@ -26,37 +26,16 @@
 	}
 }
 
-// Watch implements peer.ControlHandler. It begins with a state that a quorum
-// confirmed, so that nobody starts on an old one.
-func (t *Control) Watch(c context.Context, _ balsampier.InstanceID, send func(balsampier.Update) error) error {
-	x, cancel := context.WithTimeout(c, confirmTimeout)
-	p, err := t.confirmed(x)
-	cancel()
-	if err != nil {
-		return err
+// Leave implements peer.ControlHandler; the leader's table takes it.
+func (t *Control) Leave(c context.Context, h balsampier.Holder) error {
+	l := t.status.Load().Leader.Instance
+	if p, ok := t.peers[l]; ok {
+		return p.caller.Leave(c, h)
 	}
-	var r balsampier.Revision
-	var e balsampier.Epoch
-	for {
-		var u balsampier.Update
-		if p.rules.Revision > r {
-			u.Rules, r = &p.rules, p.rules.Revision
-		}
-		if p.view.Epoch > e {
-			u.View, e = &p.view, p.view.Epoch
-		}
-		if u.Rules != nil || u.View != nil {
-			if err := send(u); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-p.changed:
-		case <-c.Done():
-			return c.Err()
-		}
-		p = t.published.Load()
+	if l != t.self {
+		return errNoLeader()
 	}
+	return t.commands.Push(c, command{leave: &h})
 }
 
 // Step implements peer.ReplicaHandler.
--- a/cmd/control/app/leases.go
+++ b/cmd/control/app/leases.go
@@ -32,6 +32,8 @@
 		confirmed *confirmation
 		// proposed tells the fate of a membership change.
 		proposed *proposedChange
+		// leave ends the lease of a member.
+		leave *balsampier.Holder
 		// rollouts takes the roll-out; it has room for it.
 		rollouts chan rollouts
 	}
@@ -127,27 +129,31 @@
 	case m.renewal != nil:
 		t.takeRenewal(m.renewal)
 	case m.digest != nil:
-		t.members.queued = append(t.members.queued, m.digest)
+		t.leases.queued = append(t.leases.queued, m.digest)
 	case m.receipt != nil:
 		t.takeReceipt(*m.receipt)
 	case m.confirmed != nil:
 		t.takeConfirmation(*m.confirmed)
 	case m.proposed != nil:
-		if p := m.proposed; p.err != nil && t.members.table != nil && p.term == t.members.term {
-			t.members.table.Dropped(p.change, t.clock.Now())
+		if p := m.proposed; p.err != nil && t.leases.table != nil && p.term == t.leases.term {
+			t.leases.table.Dropped(p.change, t.clock.Now())
+		}
+	case m.leave != nil:
+		if t.leases.table != nil {
+			t.leases.table.Leave(*m.leave, t.clock.Now())
 		}
 	case m.rollouts != nil:
-		if t.members.table == nil {
+		if t.leases.table == nil {
 			m.rollouts <- rollouts{err: errNotLeader()}
 			return
 		}
-		m.rollouts <- rollouts{list: t.members.table.Rollouts()}
+		m.rollouts <- rollouts{list: t.leases.table.Rollouts()}
 	}
 }
 
 // followView tells the collector and the table of newer views.
 func (t *Control) followView() {
-	m := &t.members
+	m := &t.leases
 	if s := t.status.Load(); m.table != nil && (s.Role != replicate.RoleLeader || s.Term != m.term) {
 		m.table = nil
 	}
@@ -163,17 +169,17 @@
 }
 
 func (t *Control) takeRenewal(r *renewal) {
-	if err := t.members.collector.Add(r.report); err != nil {
+	if err := t.leases.collector.Add(r.report); err != nil {
 		r.answer <- renewed{err: err}
 		return
 	}
 	h := r.report.Member.Holder()
-	t.members.waiting[h] = append(t.members.waiting[h], r.answer)
+	t.leases.waiting[h] = append(t.leases.waiting[h], r.answer)
 }
 
 // passOwn hands the next digest to the leader, which may be this instance.
 func (t *Control) passOwn(c context.Context) error {
-	d, ok := t.members.collector.Digest(t.published.Load().rules.Revision)
+	d, ok := t.leases.collector.Digest(t.published.Load().rules.Revision)
 	if !ok {
 		return nil
 	}
@@ -210,11 +216,12 @@
 
 // takeReceipt answers the members of the own digest, or tries again.
 func (t *Control) takeReceipt(r received) {
-	m := &t.members
+	m := &t.leases
 	if r.err != nil {
 		m.collector.Failed()
 		return
 	}
+	t.raiseActive(r.receipt.Grant.Active)
 	for _, a := range m.collector.Confirmed(r.receipt) {
 		for _, c := range m.waiting[a.Holder] {
 			c <- renewed{grant: a.Grant, err: a.Err}
@@ -223,10 +230,16 @@
 	}
 }
 
+func (t *Control) raiseActive(e balsampier.Epoch) {
+	if uint64(e) > t.active.Load() {
+		t.active.Store(uint64(e))
+	}
+}
+
 // confirm asks a quorum whether this instance still leads, when digests wait
 // or leases may have run out.
 func (t *Control) confirm(c context.Context) {
-	m := &t.members
+	m := &t.leases
 	s := t.status.Load()
 	if s.Role != replicate.RoleLeader {
 		refuse(m.queued, errNotLeader())
@@ -253,7 +266,7 @@
 
 // takeConfirmation answers the digests that came before it was asked for.
 func (t *Control) takeConfirmation(n confirmation) {
-	m := &t.members
+	m := &t.leases
 	ds := m.confirming
 	m.underWay, m.confirming = false, nil
 	if s := t.status.Load(); n.err != nil || s.Term != n.term || s.Role != replicate.RoleLeader {
@@ -280,7 +293,7 @@
 
 // proposeChanges logs the membership changes that are due.
 func (t *Control) proposeChanges(c context.Context) {
-	m := &t.members
+	m := &t.leases
 	if m.table == nil {
 		return
 	}
--- a/cmd/control/app/settings.go
+++ b/cmd/control/app/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/balsampier/balsampier/command/lease"
+	"github.com/balsampier/balsampier/query/members"
 	"github.com/balsampier/balsampier/settings"
 )
 
@@ -15,6 +16,7 @@
 	minLeaseTerm           = time.Second
 	minElectionTimeout     = 100 * time.Millisecond
 	maxInstances           = 9
+	minWatchBudget         = 4000
 )
 
 type (
@@ -32,6 +34,10 @@
 		LeaseTerm time.Duration `yaml:"leaseTerm"`
 		// ElectionTimeout is how long a leader may be silent.
 		ElectionTimeout time.Duration `yaml:"electionTimeout"`
+		// WatchBudget is what one watch stream may send in a second, in bytes.
+		WatchBudget int `yaml:"watchBudget"`
+		// LocalAgents tells balancers of the agents of their data centre only.
+		LocalAgents bool `yaml:"localAgents"`
 		// RingDepth is the capacity of each ring.
 		RingDepth int `yaml:"ringDepth"`
 	}
@@ -49,6 +55,9 @@
 	if s.RingDepth == 0 {
 		s.RingDepth = defaultRingDepth
 	}
+	if s.WatchBudget == 0 {
+		s.WatchBudget = members.DefaultBudget
+	}
 	if s.LeaseTerm == 0 {
 		s.LeaseTerm = lease.DefaultTerm
 	}
@@ -63,6 +72,9 @@
 	f.Addr("peerAddress", s.PeerAddr)
 	f.Required("dataFolder", s.DataFolder)
 	f.Positive("ringDepth", s.RingDepth)
+	if s.WatchBudget < minWatchBudget {
+		f.Add("watchBudget", fmt.Sprint(s.WatchBudget), fmt.Sprintf("write at least %d", minWatchBudget))
+	}
 	if s.LeaseTerm < minLeaseTerm {
 		f.Add("leaseTerm", s.LeaseTerm.String(), "write at least "+minLeaseTerm.String())
 	}
--- /dev/null
+++ b/cmd/control/app/watch.go
@@ -0,0 +1,83 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/query/members"
+)
+
+const (
+	// confirmPeriod is how often a quorum is asked whether the state is the
+	// newest.
+	confirmPeriod = 500 * time.Millisecond
+	// confirmValid is how long a confirmation is passed on.
+	confirmValid = 2 * time.Second
+)
+
+// keepConfirmed asks a quorum again and again whether the state is the newest.
+func (t *Control) keepConfirmed(c context.Context) error {
+	for c.Err() == nil {
+		asked := t.clock.Now()
+		x, cancel := context.WithTimeout(c, confirmTimeout)
+		if _, err := t.confirmed(x); err == nil {
+			t.confirmedAt.Store(&asked)
+		}
+		cancel()
+		k := t.clock.NewTimer(confirmPeriod)
+		select {
+		case <-k.C():
+		case <-c.Done():
+		}
+		k.Stop()
+	}
+	return c.Err()
+}
+
+// Watch implements peer.ControlHandler.
+func (t *Control) Watch(c context.Context, w balsampier.WatchRequest, send func(balsampier.WatchMessage) error) error {
+	began := t.clock.Now()
+	b := members.NewPublisher(members.InterestOf(w.Member, t.s.LocalAgents), peer.Sizes(), t.s.WatchBudget, w.Position, began)
+	for {
+		p := t.published.Load()
+		m, wait, ok := t.next(b, p, began)
+		if ok {
+			if err := send(m); err != nil {
+				return err
+			}
+			continue
+		}
+		k := t.clock.NewTimer(wait)
+		select {
+		case <-p.changed:
+		case <-k.C():
+		case <-c.Done():
+			k.Stop()
+			return c.Err()
+		}
+		k.Stop()
+	}
+}
+
+// next returns the next message of a stream that began at the given time.
+func (t *Control) next(b *members.Publisher, p *published, began time.Time) (balsampier.WatchMessage, time.Duration, bool) {
+	now := t.clock.Now()
+	// The confirmation is read first: what is published by now covers it.
+	at := t.confirmedAt.Load()
+	p = t.newer(p)
+	t.historyMu.RLock()
+	defer t.historyMu.RUnlock()
+	return b.Next(members.Source{
+		Rules: p.rules, Earlier: p.earlier, History: t.history, Active: balsampier.Epoch(t.active.Load()),
+		Confirmed: at != nil && at.After(began) && now.Sub(*at) < confirmValid,
+	}, now)
+}
+
+func (t *Control) newer(p *published) *published {
+	if n := t.published.Load(); n.applied > p.applied {
+		return n
+	}
+	return p
+}
--- /dev/null
+++ b/control/renew.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/lease"
+)
+
+// renew keeps the lease.
+func (s *Session) renew(c context.Context) error {
+	for c.Err() == nil {
+		s.waitRenewal(c)
+		m, ok := s.o.Member()
+		if !ok {
+			s.postpone()
+			continue
+		}
+		s.renewOnce(c, m)
+	}
+	return c.Err()
+}
+
+// waitRenewal returns when the next renewal is due or asked for.
+func (s *Session) waitRenewal(c context.Context) {
+	s.mu.Lock()
+	d := s.own.Next().Sub(s.o.Clock.Now())
+	s.mu.Unlock()
+	t := s.o.Clock.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-s.nudge:
+	case <-c.Done():
+	}
+}
+
+// postpone counts a renewal that had nothing to announce as made.
+func (s *Session) postpone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own.Send(s.o.Clock.Now(), s.o.Random)
+}
+
+func (s *Session) renewOnce(c context.Context, m balsampier.Member) {
+	r := balsampier.Renewal{Member: m, Applied: s.State().Rules.Revision}
+	s.mu.Lock()
+	var a lease.Attempt
+	a, r.Acknowledged = s.own.Send(s.o.Clock.Now(), s.o.Random)
+	s.mu.Unlock()
+	l, err := s.o.Client.Renew(c, r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.own.Granted(a, lease.Grant{Term: l.Term, Epoch: l.Epoch, Active: l.Active}, s.o.Random)
+		return
+	}
+	s.own.Failed(a, err, s.o.Clock.Now(), s.o.Random)
+	if c.Err() == nil {
+		s.o.Logger.Warn().Err(err).Msg("lease not renewed")
+	}
+}
+
+// Leave gives the lease up and tells control. The member must not act on its
+// lease afterwards.
+func (s *Session) Leave(c context.Context) {
+	m, ok := s.o.Member()
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	s.own.Leave()
+	s.mu.Unlock()
+	c, cancel := context.WithTimeout(c, leaveTimeout)
+	defer cancel()
+	if err := s.o.Client.Leave(c, m.Holder()); err != nil {
+		s.o.Logger.Warn().Err(err).Msg("control was not told of the stop; the lease runs out by itself")
+	}
+}
+
+// leaveTimeout bounds the farewell to control.
+const leaveTimeout = time.Second
--- a/control/session.go
+++ b/control/session.go
@@ -1,9 +1,10 @@
 // Package control keeps a member in touch with the control instances: one
-// thread renews its lease, one follows rules and membership.
+// thread renews its lease, one follows rules and membership. What to do is
+// decided elsewhere.
 package control
 
 import (
-	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,17 +13,13 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/follow"
+	"github.com/balsampier/balsampier/command/lease"
 	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/operator/rulefile"
 	"github.com/balsampier/balsampier/query/inforce"
 )
 
-const (
-	renewPeriod = 500 * time.Millisecond
-	minBackoff  = 100 * time.Millisecond
-	maxBackoff  = 2 * time.Second
-)
-
 type (
 	// State is what a member knows of rules and membership.
 	State struct {
@@ -37,9 +34,11 @@
 	// Options are what a session is made of.
 	Options struct {
 		Client balsampier.ControlClient
-		Clock  balsampier.Clock
-		Random balsampier.Random
-		Logger *log.Logger
+		// Instances is how many control instances there are; positive.
+		Instances int
+		Clock     balsampier.Clock
+		Random    balsampier.Random
+		Logger    *log.Logger
 		// Member returns the own member; ok is false while there is nothing
 		// to announce.
 		Member func() (m balsampier.Member, ok bool)
@@ -51,10 +50,31 @@
 	Session struct {
 		o     Options
 		state atomic.Pointer[State]
-		// leaseUntil is when the lease ends by the own clock; nil without one.
-		leaseUntil atomic.Pointer[time.Time]
 		// nudge holds a token when the member changed.
 		nudge chan struct{}
+
+		mu sync.Mutex
+		// own and follower are guarded by mu.
+		own      *lease.Own
+		follower *follow.Follower
+	}
+
+	// Status tells how a member stands with control.
+	Status struct {
+		// Lease is waiting, held, lapsed, refused or left.
+		Lease string `json:"lease"`
+		// Watch is waiting, connecting, unconfirmed or following.
+		Watch string `json:"watch"`
+		Ready bool   `json:"ready"`
+		// CutOff is true when the member serves on with a state that was not
+		// confirmed for a while.
+		CutOff    bool                `json:"cutOff"`
+		Control   int                 `json:"controlInstance"`
+		Revision  balsampier.Revision `json:"revision"`
+		Epoch     balsampier.Epoch    `json:"epoch"`
+		Active    balsampier.Epoch    `json:"activeEpoch"`
+		Confirmed time.Time           `json:"confirmed"`
+		Failures  int                 `json:"failures"`
 	}
 )
 
@@ -64,7 +84,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Session{o: o, nudge: make(chan struct{}, 1)}
+	now := o.Clock.Now()
+	s := &Session{
+		o: o, nudge: make(chan struct{}, 1),
+		own: lease.NewOwn(now), follower: follow.New(o.Instances, now, o.Random),
+	}
 	s.state.Store(&State{Table: t})
 	return s, nil
 }
@@ -72,15 +96,32 @@
 // State returns the newest state.
 func (s *Session) State() State { return *s.state.Load() }
 
-// Ready reports whether rules and membership were received.
-func (s *Session) Ready() bool { return s.State().View.Epoch > 0 }
+// Ready reports whether rules and membership were confirmed once.
+func (s *Session) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.Ready()
+}
+
+// Lease returns the epoch that the member may act in now; ok is false without
+// a valid lease.
+func (s *Session) Lease() (e balsampier.Epoch, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.own.Epoch(s.o.Clock.Now())
+}
 
-// LeaseUntil returns when the lease ends by the own clock.
-func (s *Session) LeaseUntil() time.Time {
-	if t := s.leaseUntil.Load(); t != nil {
-		return *t
+// Status returns the status for dumps.
+func (s *Session) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.o.Clock.Now()
+	f := s.follower.Status(t)
+	return Status{
+		Lease: s.own.Standing(t).String(), Watch: f.State.String(), Ready: f.Ready, CutOff: f.CutOff,
+		Control: f.Instance, Revision: f.Revision, Epoch: f.Epoch, Active: f.Active,
+		Confirmed: f.Confirmed, Failures: f.Failures,
 	}
-	return time.Time{}
 }
 
 // Nudge renews at once, after the own member changed.
@@ -96,90 +137,6 @@
 	return []transport.Server{duty.New("renew lease", s.renew), duty.New("watch control", s.watch)}
 }
 
-func (s *Session) renew(c context.Context) error {
-	for c.Err() == nil {
-		s.renewOnce(c)
-		t := s.o.Clock.NewTimer(renewPeriod)
-		select {
-		case <-t.C():
-		case <-s.nudge:
-		case <-c.Done():
-		}
-		t.Stop()
-	}
-	return c.Err()
-}
-
-func (s *Session) renewOnce(c context.Context) {
-	m, ok := s.o.Member()
-	if !ok {
-		return
-	}
-	sent := s.o.Clock.Now()
-	n := s.State()
-	l, err := s.o.Client.Renew(c, balsampier.Renewal{Member: m, Applied: n.Rules.Revision, Acknowledged: n.View.Epoch})
-	if err != nil {
-		if c.Err() == nil {
-			s.o.Logger.Warn().Err(err).Msg("lease not renewed")
-		}
-		return
-	}
-	t := sent.Add(l.Term)
-	s.leaseUntil.Store(&t)
-}
-
-func (s *Session) watch(c context.Context) error {
-	wait := minBackoff
-	for c.Err() == nil {
-		err := s.o.Client.Watch(c, s.instance(), func(u balsampier.Update) {
-			wait = minBackoff
-			s.apply(u)
-		})
-		if c.Err() != nil {
-			break
-		}
-		s.o.Logger.Warn().Err(err).Msg("watch ended")
-		t := s.o.Clock.NewTimer(wait/2 + time.Duration(s.o.Random.Uint64()%uint64(wait)))
-		select {
-		case <-t.C():
-		case <-c.Done():
-		}
-		t.Stop()
-		wait = min(2*wait, maxBackoff)
-	}
-	return c.Err()
-}
-
-func (s *Session) instance() balsampier.InstanceID {
-	m, _ := s.o.Member()
-	return m.ID
-}
-
-// apply takes what is newer and ignores the rest.
-func (s *Session) apply(u balsampier.Update) {
-	n := s.State()
-	changed := false
-	if u.Rules != nil && u.Rules.Revision > n.Rules.Revision {
-		t, err := compile(*u.Rules)
-		if err != nil {
-			s.o.Logger.Error().Err(err).Uint64("revision", uint64(u.Rules.Revision)).Msg("accepted rules not understood; run the same version everywhere")
-			return
-		}
-		n.Rules, n.Table, changed = *u.Rules, t, true
-	}
-	if u.View != nil && u.View.Epoch > n.View.Epoch {
-		n.View, changed = *u.View, true
-	}
-	if !changed {
-		return
-	}
-	s.state.Store(&n)
-	s.o.Changed(n)
-	s.o.Logger.Info().Uint64("revision", uint64(n.Rules.Revision)).Uint64("epoch", uint64(n.View.Epoch)).
-		Int("members", len(n.View.Members)).Msg("in force")
-	s.Nudge()
-}
-
 func compile(r balsampier.RuleFile) (*inforce.Table, error) {
 	f, ps := rulefile.Parse(r.Text)
 	if rulefile.Failed(ps) {
--- a/interfaces.go
+++ b/interfaces.go
@@ -122,9 +122,11 @@
 	ControlClient interface {
 		// Renew announces a member and renews its lease.
 		Renew(c context.Context, r Renewal) (Lease, error)
-		// Watch calls f with each newer state until c ends or the stream
-		// breaks.
-		Watch(c context.Context, i InstanceID, f func(Update)) error
+		// Watch calls f with each message until c ends, the stream breaks or f
+		// returns an error.
+		Watch(c context.Context, w WatchRequest, f func(WatchMessage) error) error
+		// Leave ends the lease of a member that has stopped.
+		Leave(c context.Context, h Holder) error
 	}
 
 	// Renewal is what a member says when it renews its lease.
@@ -147,14 +149,6 @@
 		Active Epoch
 	}
 
-	// Update is one message of a watch stream.
-	Update struct {
-		// Rules is nil when the rule file did not change.
-		Rules *RuleFile
-		// View is nil when the membership did not change.
-		View *View
-	}
-
 	// BackendServer is the server beside an agent.
 	BackendServer interface {
 		// Load asks the server for its own account of its load, which is a
--- a/peer/client.go
+++ b/peer/client.go
@@ -64,14 +64,33 @@
 	}, nil
 }
 
-// Watch calls f with each newer state until c ends or the stream breaks.
-func (l *ControlClient) Watch(c context.Context, i balsampier.InstanceID, f func(balsampier.Update)) error {
-	conn, err := l.dial(c)
+// Leave ends the lease of a member that has stopped.
+func (l *ControlClient) Leave(c context.Context, h balsampier.Holder) error {
+	c, cancel := context.WithTimeout(c, callTimeout)
+	defer cancel()
+	conn, err := l.shared(c)
+	if err != nil {
+		return err
+	}
+	_, err = peerpb.NewDRPCControlCommandClient(conn).Leave(l.key.attach(c), &peerpb.LeaveRequest{Holder: putHolder(h)})
+	if err != nil {
+		l.drop(conn)
+		return decodeError("leave", err)
+	}
+	return nil
+}
+
+// Watch calls f with each message until c ends, the stream breaks or f
+// returns an error.
+func (l *ControlClient) Watch(c context.Context, w balsampier.WatchRequest, f func(balsampier.WatchMessage) error) error {
+	conn, err := l.dial(c, l.addrs[w.Control%len(l.addrs)])
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	s, err := peerpb.NewDRPCControlQueryClient(conn).Watch(l.key.attach(c), &peerpb.WatchRequest{Instance: uint64(i)})
+	s, err := peerpb.NewDRPCControlQueryClient(conn).Watch(l.key.attach(c), &peerpb.WatchRequest{
+		Member: putMember(w.Member), Revision: uint64(w.Position.Revision), Epoch: uint64(w.Position.Epoch),
+	})
 	if err != nil {
 		return decodeError("watch", err)
 	}
@@ -81,7 +100,9 @@
 		if err != nil {
 			return decodeError("watch", err)
 		}
-		f(update(m))
+		if err := f(watchMessage(m)); err != nil {
+			return err
+		}
 	}
 }
 
@@ -95,33 +116,21 @@
 	}
 }
 
-func update(m *peerpb.WatchResponse) balsampier.Update {
-	var u balsampier.Update
-	if m.GetRules() != nil {
-		r := rules(m.GetRules())
-		u.Rules = &r
-	}
-	if m.GetView() != nil {
-		v := view(m.GetView())
-		u.View = &v
-	}
-	return u
-}
-
 // shared returns the connection for unary calls.
 func (l *ControlClient) shared(c context.Context) (drpc.Conn, error) {
 	l.mu.Lock()
-	conn := l.conn
+	conn, a := l.conn, l.addrs[l.next]
 	l.mu.Unlock()
 	if conn != nil {
 		return conn, nil
 	}
-	conn, err := l.dial(c)
+	conn, err := l.dial(c, a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
+		l.next = (l.next + 1) % len(l.addrs)
 		return nil, err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.conn = conn
 	return conn, nil
 }
@@ -137,16 +146,10 @@
 	l.next = (l.next + 1) % len(l.addrs)
 }
 
-func (l *ControlClient) dial(c context.Context) (drpc.Conn, error) {
-	l.mu.Lock()
-	a := l.addrs[l.next]
-	l.mu.Unlock()
+func (l *ControlClient) dial(c context.Context, a netip.AddrPort) (drpc.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	n, err := d.DialContext(c, "tcp", a.String())
 	if err != nil {
-		l.mu.Lock()
-		l.next = (l.next + 1) % len(l.addrs)
-		l.mu.Unlock()
 		return nil, decodeError("dial "+a.String(), err)
 	}
 	return drpcconn.New(n), nil
--- a/peer/control.go
+++ b/peer/control.go
@@ -71,6 +71,14 @@
 	return r, err
 }
 
+// Leave tells the leader that a member has stopped.
+func (l *Caller) Leave(c context.Context, h balsampier.Holder) error {
+	return l.call(c, func(c context.Context, n drpc.Conn) error {
+		_, err := peerpb.NewDRPCControlCommandClient(n).Leave(c, &peerpb.LeaveRequest{Holder: putHolder(h)})
+		return err
+	})
+}
+
 // ReadIndex asks the leader for an index that covers all that is committed.
 func (l *Caller) ReadIndex(c context.Context) (balsampier.Index, error) {
 	var i balsampier.Index
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -73,7 +73,7 @@
 	return out
 }
 
-func members(ms []*peerpb.Member) []balsampier.Member {
+func memberList(ms []*peerpb.Member) []balsampier.Member {
 	out := make([]balsampier.Member, 0, len(ms))
 	for _, m := range ms {
 		out = append(out, member(m))
@@ -86,7 +86,7 @@
 }
 
 func view(v *peerpb.View) balsampier.View {
-	return balsampier.View{Epoch: balsampier.Epoch(v.GetEpoch()), Members: members(v.GetMembers())}
+	return balsampier.View{Epoch: balsampier.Epoch(v.GetEpoch()), Members: memberList(v.GetMembers())}
 }
 
 func putZones(zs []balsampier.ZoneTable) []*peerpb.ZoneTable {
@@ -171,7 +171,7 @@
 		}, nil, err
 	}
 	m := e.GetMembership()
-	c := &apply.MembershipChange{Joined: members(m.GetJoined())}
+	c := &apply.MembershipChange{Joined: memberList(m.GetJoined())}
 	for _, id := range m.GetLeft() {
 		c.Left = append(c.Left, balsampier.InstanceID(id))
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,8 +22,10 @@
 	ControlHandler interface {
 		// Renew extends the lease of a member.
 		Renew(c context.Context, r balsampier.Renewal) (balsampier.Lease, error)
-		// Watch calls send with each newer state until c ends.
-		Watch(c context.Context, i balsampier.InstanceID, send func(balsampier.Update) error) error
+		// Leave ends the lease of a member that has stopped.
+		Leave(c context.Context, h balsampier.Holder) error
+		// Watch calls send with each message until c ends.
+		Watch(c context.Context, w balsampier.WatchRequest, send func(balsampier.WatchMessage) error) error
 	}
 
 	// Server serves drpc on the peers' port. It implements the server
@@ -97,19 +99,26 @@
 	}, nil
 }
 
+// Leave implements the drpc service.
+func (s *controlServer) Leave(c context.Context, q *peerpb.LeaveRequest) (*peerpb.LeaveResponse, error) {
+	if err := s.key.check(c); err != nil {
+		return nil, err
+	}
+	return &peerpb.LeaveResponse{}, encodeError(s.h.Leave(c, holder(q.GetHolder())))
+}
+
 // Watch implements the drpc service.
 func (s *controlServer) Watch(q *peerpb.WatchRequest, m peerpb.DRPCControlQuery_WatchStream) error {
 	if err := s.key.check(m.Context()); err != nil {
 		return err
 	}
-	return s.h.Watch(m.Context(), balsampier.InstanceID(q.GetInstance()), func(u balsampier.Update) error {
-		var r peerpb.WatchResponse
-		if u.Rules != nil {
-			r.Rules = putRules(*u.Rules)
-		}
-		if u.View != nil {
-			r.View = putView(*u.View)
-		}
-		return trace.Wrap(m.Send(&r))
-	})
+	w := balsampier.WatchRequest{
+		Member: member(q.GetMember()),
+		Position: balsampier.WatchPosition{
+			Revision: balsampier.Revision(q.GetRevision()), Epoch: balsampier.Epoch(q.GetEpoch()),
+		},
+	}
+	return encodeError(s.h.Watch(m.Context(), w, func(u balsampier.WatchMessage) error {
+		return trace.Wrap(m.Send(putWatchMessage(u)))
+	}))
 }
--- a/query/members/delta.go
+++ b/query/members/delta.go
@@ -12,18 +12,6 @@
 )
 
 type (
-	// Delta leads from one view to a later one.
-	Delta struct {
-		// From is zero for a snapshot, which replaces any view.
-		From balsampier.Epoch
-		// To is not before From.
-		To balsampier.Epoch
-		// Changed are new or changed members, sorted by ID.
-		Changed []balsampier.Member
-		// Removed are sorted.
-		Removed []balsampier.InstanceID
-	}
-
 	// change is what happened to one member between two views.
 	change struct {
 		// before has a zero ID for a member that joined.
--- a/query/members/message.go
+++ b/query/members/message.go
@@ -3,49 +3,18 @@
 import "github.com/balsampier/balsampier"
 
 type (
-	// Message is one message of a watch stream. One without parts is a
-	// heartbeat.
-	Message struct {
-		// Confirmed is true when the control instance confirmed with a quorum,
-		// after the stream began, that Revision and Epoch are the newest.
-		Confirmed bool
-		// Revision is the newest one that the control instance knows.
-		Revision balsampier.Revision
-		// Epoch is the newest one that the control instance knows.
-		Epoch balsampier.Epoch
-		// Active is an epoch below which no member has a lease any more.
-		Active balsampier.Epoch
-		// Rules is nil when the message carries no part of a rule file.
-		Rules *RulesPart
-		// View is nil when the message carries no part of a view.
-		View *ViewPart
-		// Loads are coarse loads, of which each message has only some.
-		Loads []AgentLoad
-	}
-
-	// AgentLoad is the load of one agent's backend server.
-	AgentLoad struct {
-		Agent balsampier.InstanceID
-		Load  balsampier.Load
-	}
-
-	// RulesPart is a part of a delta. All parts of one delta follow each other
-	// among the rules parts of a stream; they differ in Insert, and
-	// only the last one has the whole of File.
-	RulesPart struct {
-		// Delta has in Insert what follows the parts before.
-		Delta RulesDelta
-		// More is true for all parts but the last one.
-		More bool
-	}
-
-	// ViewPart is a part of a delta. All parts of one delta follow each other
-	// among the view parts of a stream and have equal From and To.
-	ViewPart struct {
-		Delta Delta
-		// More is true for all parts but the last one.
-		More bool
-	}
+	// Message is one message of a watch stream.
+	Message = balsampier.WatchMessage
+	// RulesPart is a part of a RulesDelta.
+	RulesPart = balsampier.RulesPart
+	// ViewPart is a part of a Delta.
+	ViewPart = balsampier.ViewPart
+	// Delta leads from one view to a later one.
+	Delta = balsampier.ViewDelta
+	// RulesDelta leads from one rule file to a later one.
+	RulesDelta = balsampier.RulesDelta
+	// Position is what a watcher has when its stream begins.
+	Position = balsampier.WatchPosition
 
 	// Sizes estimates encoded lengths in bytes.
 	Sizes struct {
@@ -55,8 +24,6 @@
 		File func(f balsampier.RuleFile) int
 		// Removed is the length of one removed member.
 		Removed int
-		// Load is the length of one load.
-		Load int
 		// Message is the length of a message without parts.
 		Message int
 	}
--- a/query/members/parts.go
+++ b/query/members/parts.go
@@ -45,22 +45,6 @@
 	return n
 }
 
-// takeLoads moves the next loads into m and returns their length.
-func (p *Publisher) takeLoads(m *Message, s Source) int {
-	room := min(p.tokens, p.part()) - p.sizes.Message
-	n := 0
-	for range s.Loads {
-		if n+p.sizes.Load > room {
-			break
-		}
-		p.load %= len(s.Loads)
-		m.Loads = append(m.Loads, s.Loads[p.load])
-		p.load++
-		n += p.sizes.Load
-	}
-	return n
-}
-
 func (p *Publisher) rulesLeft() int { return p.sizes.File(p.rules.File) + len(p.rules.Insert) }
 
 func (p *Publisher) viewLeft() int {
@@ -109,14 +93,3 @@
 	d, a.view = *a.view, nil
 	return d, true
 }
-
-// Loads returns the loads that interest i wants of ls.
-func (h *History) Loads(ls []AgentLoad, i Interest) []AgentLoad {
-	var out []AgentLoad
-	for _, l := range ls {
-		if m, ok := h.view.Find(l.Agent); ok && i.Wants(m) {
-			out = append(out, l)
-		}
-	}
-	return out
-}
--- a/query/members/publisher.go
+++ b/query/members/publisher.go
@@ -28,8 +28,6 @@
 		Earlier []balsampier.RuleFile
 		// History holds the newest view.
 		History *History
-		// Loads are the newest loads.
-		Loads []AgentLoad
 		// Active is the newest active epoch.
 		Active balsampier.Epoch
 		// Confirmed tells that a quorum confirmed Rules and History after the
@@ -37,15 +35,9 @@
 		Confirmed bool
 	}
 
-	// Position is what a watcher has when its stream begins.
-	Position struct {
-		Revision balsampier.Revision
-		Epoch    balsampier.Epoch
-	}
-
 	// Publisher decides what to send next to one watcher: of rules and view
 	// the one with less left to send, so that neither a long rule file nor a
-	// snapshot holds up a short delta; loads with what is left.
+	// snapshot holds up a short delta; heartbeats otherwise.
 	Publisher struct {
 		interest Interest
 		sizes    Sizes
@@ -63,8 +55,6 @@
 		// rules and view are what is being sent; nil when nothing is.
 		rules *RulesDelta
 		view  *Delta
-		// load is the index of the next load to send.
-		load int
 	}
 )
 
@@ -87,7 +77,6 @@
 	idle := p.rules == nil && p.view == nil
 	switch {
 	case idle && t.Sub(p.sent) >= HeartbeatInterval:
-		n += p.takeLoads(&m, s)
 	case idle:
 		return m, HeartbeatInterval - t.Sub(p.sent), false
 	case p.tokens < p.part():
--- a/query/members/rules.go
+++ b/query/members/rules.go
@@ -10,26 +10,6 @@
 	"github.com/balsampier/balsampier"
 )
 
-// RulesDelta leads from one rule file to a later one by replacing one span of
-// its text.
-type RulesDelta struct {
-	// From is zero for a whole file, which replaces any other.
-	From balsampier.Revision
-	// Skip is how many bytes of the earlier text stay before the span.
-	Skip int
-	// Cut is the length of the span in the earlier text.
-	Cut int
-	// Insert is the span in the later text.
-	Insert string
-	// Sum is the hash of the later text.
-	Sum uint64
-	// SameZones is true when the zones of both files are equal.
-	SameZones bool
-	// File is the later file without its text, and without its zones when
-	// SameZones is true.
-	File balsampier.RuleFile
-}
-
 // NewRulesDelta returns what leads from a to b.
 func NewRulesDelta(a, b balsampier.RuleFile) RulesDelta {
 	d := RulesDelta{From: a.Revision, Sum: xxhash.Sum64String(b.Text), File: b}
