fix: open a store without entries to a nil slice

Change: copy by append, which keeps nil. Conclusion: no difference to callers that range over the entries.

--- a/disk/store.go
+++ b/disk/store.go
@@ -71,7 +71,7 @@
 		return nil, balsampier.StoredLog{}, errors.Join(err, s.Close())
 	}
 	return s, balsampier.StoredLog{
-		Disk: s.disk, Hard: s.hard, Snapshot: s.snapshot, Entries: slices.Clone(s.entries),
+		Disk: s.disk, Hard: s.hard, Snapshot: s.snapshot, Entries: append([]balsampier.Entry(nil), s.entries...),
 	}, nil
 }
 
