fix: let a decree replace the built-in change at the same local time

Cause, three faults that the new tests showed: - a decree at the local time at which the clock would be set back (2027-11-07 02:00 in Vancouver) was taken for the first instant at which the clock reads that time, so that the clock went back at 09:00 UTC and forward again at 10:00 UTC. The scan in the tests followed the same definition, so it agreed. - time.Location.ZoneBounds of a zone known by its rule alone gives the end 2028-12-30 16:00 -08:00 for an instant behind it; compiling such a zone did not end, and its run was killed after 389 s for memory. Zone data whose listed changes end in 2037 comes to the same case. - the offset before the second of two decrees at one instant was that of a change that never took place.

Offsets are found by stepping three hours and searching to the second. Decrees more than ten years back are refused, which bounds the steps.

--- a/query/check/check.go
+++ b/query/check/check.go
@@ -48,11 +48,19 @@
 
 func sorted(ps []balsampier.Problem) []balsampier.Problem {
 	slices.SortStableFunc(ps, func(a, b balsampier.Problem) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column), cmp.Compare(rank(a), rank(b)))
 	})
 	return ps
 }
 
+// rank puts problems that keep a file from being accepted first.
+func rank(p balsampier.Problem) int {
+	if p.Warning {
+		return 1
+	}
+	return 0
+}
+
 func unknownZones(d balsampier.ZoneData, rs []balsampier.Rule, ks []balsampier.ClockChange) []balsampier.Problem {
 	unknown := make(map[string]bool)
 	for _, n := range zonetable.Names(rs, ks) {
--- a/query/check/clock.go
+++ b/query/check/clock.go
@@ -69,13 +69,17 @@
 		return []balsampier.Problem{clockProblem(c, false, "the change lies beyond the zone tables",
 			"write a time before "+t.Add(zonetable.Horizon).UTC().Format(dateLayout)+", and submit later changes when they are near")}
 	}
+	if c.Local.Before(t.Add(-zonetable.Horizon)) {
+		return []balsampier.Problem{clockProblem(c, false, "the change lies too far back",
+			"delete the line, or write a time after "+t.Add(-zonetable.Horizon).UTC().Format(dateLayout))}
+	}
 	var ps []balsampier.Problem
 	if l := c.At.UTC().Add(c.Before); !l.Equal(c.Local) {
 		ps = append(ps, clockProblem(c, true, "the clock never shows this time; the change takes place at the skip, "+c.At.UTC().Format(time.RFC3339),
 			"write the time that the clock shows right before the change"))
 	}
 	if c.Offset == c.Before {
-		ps = append(ps, clockProblem(c, true, "the offset is the one that holds already; only later changes of the zone are cancelled",
+		ps = append(ps, clockProblem(c, true, "the offset is the one that holds already; only built-in changes of the zone are cancelled from here on",
 			"check the offset against the decree"))
 	}
 	if (c.Offset - c.Before).Abs() > 3*time.Hour {
--- a/query/zonetable/zonetable.go
+++ b/query/zonetable/zonetable.go
@@ -23,12 +23,14 @@
 
 	// slack is more than any two offsets differ by.
 	slack = 48 * time.Hour
+	// stride is less than the time between any two changes of a zone.
+	stride = 3 * time.Hour
 )
 
 // Change is a clock change with the instant at which it takes place.
 type Change struct {
 	balsampier.ClockChange
-	// At is the first instant at which the clock reads Local or later.
+	// At is the first instant by which the clock has reached Local.
 	At time.Time
 	// Before is the offset until At.
 	Before time.Duration
@@ -115,6 +117,9 @@
 	if len(cs) > 0 && cs[0].Local.Add(-slack).Before(first) {
 		first = cs[0].Local.Add(-slack)
 	}
+	if oldest := t.Add(-Horizon - slack); first.Before(oldest) {
+		first = oldest
+	}
 	ts := builtIn(l, first, t.Add(Horizon))
 	for i := range cs {
 		ts = override(ts, &cs[i])
@@ -122,17 +127,23 @@
 	return balsampier.ZoneTable{Zone: name, Transitions: trim(ts, t.Add(-History))}, cs
 }
 
+// builtIn looks for changes of the offset stride by stride. The bounds that
+// time.Location tells are not used: at the end of leap years that follow from
+// a zone's rule alone, they lie before the time asked for.
 func builtIn(l *time.Location, first, until time.Time) []balsampier.Transition {
 	at := first.UTC().Truncate(time.Second)
 	ts := []balsampier.Transition{transition(at, l)}
-	for {
-		_, end := at.In(l).ZoneBounds()
-		if end.IsZero() || end.After(until) {
-			return ts
+	for ; at.Before(until); at = at.Add(stride) {
+		o := transition(at, l).Offset
+		if transition(at.Add(stride), l).Offset == o {
+			continue
 		}
-		at = end.UTC()
-		ts = append(ts, transition(at, l))
+		n := sort.Search(int(stride/time.Second), func(i int) bool {
+			return transition(at.Add(time.Duration(i)*time.Second), l).Offset != o
+		})
+		ts = append(ts, transition(at.Add(time.Duration(n)*time.Second), l))
 	}
+	return ts
 }
 
 func transition(t time.Time, l *time.Location) balsampier.Transition {
@@ -140,21 +151,24 @@
 	return balsampier.Transition{At: t, Offset: time.Duration(s) * time.Second}
 }
 
-// override cuts ts at the first instant at which the clock reads c.Local or
-// later and appends the decreed offset. So a time that is skipped means the
-// instant of the skip, and a time that is repeated means its first pass.
+// override cuts ts at the first instant by which the clock has reached c.Local
+// and appends the decreed offset. So a time that is skipped means the instant
+// of the skip, a time that is repeated means its first pass, and a time at
+// which the clock would be set back means that it is not.
 func override(ts []balsampier.Transition, c *Change) []balsampier.Transition {
 	for i, t := range ts {
-		c.At, c.Before = c.Local.Add(-t.Offset), t.Offset
+		c.At = c.Local.Add(-t.Offset)
 		if c.At.Before(t.At) {
 			c.At = t.At
 		}
-		if i == len(ts)-1 || c.At.Before(ts[i+1].At) {
-			if i > 0 && c.At.Equal(t.At) {
-				c.Before = ts[i-1].Offset
-			}
-			return append(ts[:i+1], balsampier.Transition{At: c.At, Offset: c.Offset})
+		if i < len(ts)-1 && c.At.After(ts[i+1].At) {
+			continue
+		}
+		for i > 0 && !ts[i].At.Before(c.At) {
+			i--
 		}
+		c.Before = ts[i].Offset
+		return append(ts[:i+1], balsampier.Transition{At: c.At, Offset: c.Offset})
 	}
 	return ts
 }
