test: sharpen the scan of unreachable rules and measure check

Cause: with hours in steps of two, the scan passed also where only the offsets at acceptance were looked at.

Change: hours in steps of one, more rules with hours and for any caller; a benchmark of check; each stride of the zone data is looked up once.

--- a/query/check/check_test.go
+++ b/query/check/check_test.go
@@ -150,16 +150,16 @@
 		for i := range rs {
 			rs[i] = balsampier.Rule{
 				Line: i + 1, Service: balsampier.ServiceName(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")),
-				To: to, From: from[rapid.IntRange(0, 2).Draw(t, "from"):][:1], Comment: "x",
+				To: to, From: from[max(0, rapid.IntRange(-2, 2).Draw(t, "from")):][:1], Comment: "x",
 			}
-			if rapid.Bool().Draw(t, "hours") {
+			if rapid.IntRange(0, 3).Draw(t, "hours") == 0 {
 				continue
 			}
 			rs[i].Zone = rapid.SampledFrom([]string{"America/Lima", "America/Vancouver"}).Draw(t, "zone")
-			start := time.Duration(rapid.IntRange(0, 11).Draw(t, "start")) * 2 * time.Hour
+			start := time.Duration(rapid.IntRange(0, 23).Draw(t, "start")) * time.Hour
 			rs[i].Windows = []balsampier.Window{{
-				Days: balsampier.Weekdays(rapid.SampledFrom([]int{127, 62, 65}).Draw(t, "days")), Start: start,
-				End: (start+time.Duration(rapid.IntRange(1, 11).Draw(t, "length"))*2*time.Hour-time.Minute)%(24*time.Hour) + time.Minute,
+				Days: balsampier.Weekdays(rapid.SampledFrom([]int{127, 127, 62, 65}).Draw(t, "days")), Start: start,
+				End: (start+time.Duration(rapid.IntRange(1, 23).Draw(t, "length"))*time.Hour-time.Minute)%(24*time.Hour) + time.Minute,
 			}}
 		}
 		zs, ps, err := check.Check(zoneData{}, rs, nil, acceptedAt)
@@ -219,3 +219,37 @@
 	}
 	return false
 }
+
+// BenchmarkCheck checks files of three rules an address, and the largest set
+// of rules that one address may have.
+func BenchmarkCheck(b *testing.B) {
+	files := []struct {
+		name             string
+		addresses, rules int
+	}{
+		{"addresses=47", 47, 3},
+		{"addresses=470", 470, 3},
+		{"addresses=4700", 4700, 3},
+		{"rules=256", 1, inforce.MaxRules},
+	}
+	for _, x := range files {
+		var rs []balsampier.Rule
+		for i := range x.addresses {
+			for j := range x.rules {
+				rs = append(rs, balsampier.Rule{
+					Line: len(rs) + 1, Service: balsampier.ServiceName(fmt.Sprint("s", j)), Comment: "x", Zone: "America/Vancouver",
+					To:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
+					From:    []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0"), netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(j), 0, 0}), 16)},
+					Windows: []balsampier.Window{{Days: 127, Start: time.Duration(j%24) * time.Hour, End: time.Duration(j%24+1) * time.Hour}},
+				})
+			}
+		}
+		b.Run(x.name, func(b *testing.B) {
+			for b.Loop() {
+				if _, _, err := check.Check(zoneData{}, rs, nil, acceptedAt); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/query/zonetable/zonetable.go
+++ b/query/zonetable/zonetable.go
@@ -133,15 +133,17 @@
 func builtIn(l *time.Location, first, until time.Time) []balsampier.Transition {
 	at := first.UTC().Truncate(time.Second)
 	ts := []balsampier.Transition{transition(at, l)}
+	o := ts[0].Offset
 	for ; at.Before(until); at = at.Add(stride) {
-		o := transition(at, l).Offset
-		if transition(at.Add(stride), l).Offset == o {
+		next := transition(at.Add(stride), l).Offset
+		if next == o {
 			continue
 		}
 		n := sort.Search(int(stride/time.Second), func(i int) bool {
 			return transition(at.Add(time.Duration(i)*time.Second), l).Offset != o
 		})
 		ts = append(ts, transition(at.Add(time.Duration(n)*time.Second), l))
+		o = next
 	}
 	return ts
 }
