--- a/command/register/registrar.go
+++ b/command/register/registrar.go
@@ -153,18 +153,18 @@
 // sent again at growing intervals with jitter.
 func (r *Registrar) Due(t time.Time, x balsampier.Random) []Batch {
 	var bs []Batch
-	for h, p := range r.peers {
-		if len(p.sent.Entries) == 0 && len(p.queue) > 0 {
+	for _, h := range r.Outstanding() {
+		p := r.peers[h]
+		if len(p.sent.Entries) == 0 {
 			p.fill(r.self, h, r.epoch)
 		}
-		if len(p.sent.Entries) == 0 || t.Before(p.due) {
+		if t.Before(p.due) {
 			continue
 		}
 		p.due = t.Add(interval(p.attempts, x))
 		p.attempts++
 		bs = append(bs, p.sent)
 	}
-	slices.SortFunc(bs, func(a, b Batch) int { return compare(a.To, b.To) })
 	return bs
 }
 
