fix: keep a moved flow at its old home until that adopts the move

Cause: a holder that had adopted an epoch told the old home at once that the flow moved; the old home, still settled under the epoch before, then answered packets of the flow by a reset. Ruled out: records that expired, late batches, a wrong settled epoch. Change: moves are told apart from ends, and take effect at the home when it adopts their epoch.

--- a/command/register/directory.go
+++ b/command/register/directory.go
@@ -20,6 +20,7 @@
 	Directory struct {
 		settings Settings
 		self     balsampier.Holder
+		epoch    balsampier.Epoch
 		entries  map[balsampier.FlowKey]record
 		// placed queues placements by age; registered ones are skipped.
 		placed []placement
@@ -41,7 +42,10 @@
 		epoch balsampier.Epoch
 		// registered records last until the holder ends them or leaves.
 		registered bool
-		at         time.Time
+		// until is the epoch from which this is no home of the flow; zero for
+		// none.
+		until balsampier.Epoch
+		at    time.Time
 	}
 
 	received struct {
@@ -127,9 +131,9 @@
 // apply reports whether the entry agrees with what other holders registered.
 func (d *Directory) apply(b Batch, e Entry) bool {
 	r, ok := d.entries[e.Flow]
-	if e.Ended {
+	if e.Ended || e.Moved {
 		if ok && r.holder == b.From {
-			delete(d.entries, e.Flow)
+			d.end(e, r, b.Epoch)
 		}
 		return true
 	}
@@ -142,12 +146,25 @@
 	return true
 }
 
+// end forgets a flow that ended at once, and one that moved when this home has
+// adopted the epoch of the move: until then packets still arrive here.
+func (d *Directory) end(e Entry, r record, at balsampier.Epoch) {
+	if e.Ended || at <= d.epoch {
+		delete(d.entries, e.Flow)
+		return
+	}
+	r.until = at
+	d.entries[e.Flow] = r
+}
+
 // Adopt forgets the flows of agents that are not in the view of epoch e. What
 // agents of later views registered stays. Homes forget nothing else by
 // themselves: a holder tells those homes that are no longer its own.
 func (d *Directory) Adopt(e balsampier.Epoch, alive func(balsampier.Holder) bool) {
+	d.epoch = e
 	for k, r := range d.entries {
-		if r.epoch <= e && !alive(r.holder) {
+		moved := r.until != 0 && r.until <= e
+		if moved || r.epoch <= e && !alive(r.holder) {
 			delete(d.entries, k)
 		}
 	}
@@ -162,7 +179,7 @@
 func (d *Directory) unknown(es []Entry) int {
 	n := 0
 	for _, e := range es {
-		if _, ok := d.entries[e.Flow]; !ok && !e.Ended {
+		if _, ok := d.entries[e.Flow]; !ok && !e.Ended && !e.Moved {
 			n++
 		}
 	}
--- a/command/register/register.go
+++ b/command/register/register.go
@@ -14,6 +14,9 @@
 		Flow balsampier.FlowKey
 		// Ended is true when the flow ended.
 		Ended bool
+		// Moved is true when the flow has another home from the batch's epoch
+		// on.
+		Moved bool
 	}
 
 	// Batch carries the changes of one holder to one home.
--- a/command/register/registrar.go
+++ b/command/register/registrar.go
@@ -126,7 +126,7 @@
 	now := r.homes(k)
 	for _, h := range r.flows[k] {
 		if _, ok := r.peers[h]; ok && !slices.Contains(now, h) {
-			r.announce(h, Entry{Flow: k, Ended: true})
+			r.announce(h, Entry{Flow: k, Moved: true})
 		}
 	}
 	for _, h := range now {
