feat: place flows by load, eject faulty backend servers and turn callers away

An opening packet was served at its home, whatever its load. The home now chooses between two agents of the service by their reported counts and its own placements since, remembers the choice for repeated packets, and hands the envelope on once.

A backend server whose announcement ran out or that refuses connections gets no new flows; one that fails requests is ejected unless a third already is. Health and load endpoints are polled as hints and move nothing. A server that announces a drain has its callers asked to go away; requests that run go on, and connections without any are closed.

The QUIC library may count a connection only after its server was shut down, which it answers with a panic or a connection without answers. The endpoint therefore enters connections by a count of its own.

--- a/backend/announce.go
+++ b/backend/announce.go
@@ -6,15 +6,22 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/balsampier/balsampier"
 )
 
-// PathAnnounce is where a backend server announces itself.
-const PathAnnounce = "/v1/backend"
+const (
+	// PathAnnounce is where a backend server announces itself.
+	PathAnnounce = "/v1/backend"
 
-// maxAnnouncementBytes bounds an announcement.
-const maxAnnouncementBytes = 4 << 10
+	// AnnouncementTerm is how long an announcement holds; a server repeats it
+	// several times within.
+	AnnouncementTerm = 5 * time.Second
+
+	// maxAnnouncementBytes bounds an announcement.
+	maxAnnouncementBytes = 4 << 10
+)
 
 type (
 	// Announcement is what a backend server says of itself.
@@ -29,6 +36,11 @@
 		Connections int `json:"connections"`
 		// Draining asks for no new work.
 		Draining bool `json:"draining"`
+		// HealthPath answers 200 while the server is well; empty without one.
+		HealthPath string `json:"healthPath,omitempty"`
+		// LoadPath answers with the server's own account of its load; empty
+		// without one.
+		LoadPath string `json:"loadPath,omitempty"`
 	}
 
 	answer struct {
@@ -50,10 +62,14 @@
 			reply(w, http.StatusBadRequest, "the announcement is not understood: "+err.Error())
 			return
 		}
-		if a.Service == "" || !a.Addr.IsValid() || a.Slots <= 0 || a.Connections <= 0 {
+		if a.Service == "" || !validAddr(a.Addr) || a.Slots <= 0 || a.Connections <= 0 {
 			reply(w, http.StatusBadRequest, "give service, address, slots and connections, the last two positive")
 			return
 		}
+		if !validPath(a.HealthPath) || !validPath(a.LoadPath) {
+			reply(w, http.StatusBadRequest, "start healthPath and loadPath with / or leave them out")
+			return
+		}
 		if err := f(a); err != nil {
 			reply(w, http.StatusConflict, err.Error())
 			return
--- /dev/null
+++ b/backend/health.go
@@ -0,0 +1,141 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// OutcomeNone says nothing of the backend server.
+	OutcomeNone Outcome = iota
+	// OutcomeServed means that the server answered.
+	OutcomeServed
+	// OutcomeFailed means that the server broke off or answered with an error
+	// of its own.
+	OutcomeFailed
+	// OutcomeRefused means that nothing listens at the server's address.
+	OutcomeRefused
+)
+
+const (
+	// askTimeout bounds each question to a backend server.
+	askTimeout = time.Second
+
+	maxLoadBytes = 4 << 10
+)
+
+type (
+	// Outcome is what a request shows of the backend server.
+	Outcome uint8
+
+	// Server asks a backend server how it is.
+	Server struct {
+		a      Announcement
+		clock  balsampier.Clock
+		client *http.Client
+	}
+
+	// claim is what a server says of its load.
+	claim struct {
+		Running     int `json:"running"`
+		Queued      int `json:"queued"`
+		Connections int `json:"connections"`
+		Slots       int `json:"slots"`
+	}
+)
+
+var _ balsampier.BackendServer = (*Server)(nil)
+
+// NewServer returns the server that announced itself.
+func NewServer(a Announcement, k balsampier.Clock) *Server {
+	return &Server{a: a, clock: k, client: &http.Client{Timeout: askTimeout}}
+}
+
+// Load asks the server for its load, which is a hint.
+func (s *Server) Load(c context.Context) (balsampier.Load, error) {
+	var l claim
+	if err := s.get(c, s.a.LoadPath, func(b io.Reader) error { return json.NewDecoder(b).Decode(&l) }); err != nil {
+		return balsampier.Load{}, err
+	}
+	if min(l.Running, l.Queued, l.Connections, l.Slots) < 0 {
+		return balsampier.Load{}, errHint("use counts that are not negative", nil)
+	}
+	return balsampier.Load{
+		Running: l.Running, Queued: l.Queued, Connections: l.Connections, Slots: l.Slots, At: s.clock.Now(),
+	}, nil
+}
+
+// Healthy asks the server whether it is well, which is a hint.
+func (s *Server) Healthy(c context.Context) error {
+	return s.get(c, s.a.HealthPath, func(io.Reader) error { return nil })
+}
+
+// Reach returns an error unless something listens at the server's address.
+func (s *Server) Reach(c context.Context) error {
+	d := net.Dialer{Timeout: askTimeout}
+	n, err := d.DialContext(c, "tcp", s.a.Addr.String())
+	if err != nil {
+		return trace.Wrap(err, "reach the backend server")
+	}
+	return trace.Wrap(n.Close())
+}
+
+func (s *Server) get(c context.Context, path string, read func(io.Reader) error) error {
+	r, err := http.NewRequestWithContext(c, http.MethodGet, "http://"+s.a.Addr.String()+path, nil)
+	if err != nil {
+		return errHint("announce a path that starts with /", err)
+	}
+	v, err := s.client.Do(r)
+	if err != nil {
+		return errHint("let the backend server answer", err)
+	}
+	defer func() { _ = v.Body.Close() }()
+	if v.StatusCode != http.StatusOK {
+		return errHint("let the backend server answer with 200", nil)
+	}
+	return read(io.LimitReader(v.Body, maxLoadBytes))
+}
+
+// outcome tells what the end of a request shows of the server. whole is false
+// when the answer broke off.
+func outcome(c context.Context, status int, err error, whole bool) Outcome {
+	switch {
+	case c.Err() != nil:
+		return OutcomeNone
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return OutcomeRefused
+	case balsampier.KindOf(err) == balsampier.KindNotRun && !dialed(err):
+		return OutcomeNone
+	case err != nil || !whole:
+		return OutcomeFailed
+	case status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable:
+		return OutcomeFailed
+	}
+	return OutcomeServed
+}
+
+func dialed(err error) bool {
+	var d *net.OpError
+	return errors.As(err, &d) && d.Op == "dial"
+}
+
+func errHint(remedy string, err error) error {
+	return balsampier.NewError(balsampier.KindUnavailable, "ask the backend server", remedy, err)
+}
+
+// validPath reports whether p is empty or the path of a URL.
+func validPath(p string) bool { return p == "" || p[0] == '/' }
+
+// validAddr reports whether a can be dialled.
+func validAddr(a netip.AddrPort) bool { return a.IsValid() && a.Port() != 0 }
--- a/backend/proxy.go
+++ b/backend/proxy.go
@@ -39,6 +39,9 @@
 		reused *http.Transport
 		// single opens a connection for every request and never repeats one.
 		single *http.Transport
+		// Observe is called when a request is sent, and what it returns with
+		// the outcome; nil for none. It is set before the first use.
+		Observe func() func(Outcome)
 	}
 
 	attemptKey struct{}
@@ -82,6 +85,12 @@
 			return err
 		}
 	}
+	status, whole := 0, false
+	if p.Observe != nil {
+		done := p.Observe()
+		// The reverse proxy panics when an answer breaks off.
+		defer func() { done(outcome(r.Context(), status, failed, whole)) }()
+	}
 	v := &httputil.ReverseProxy{
 		Rewrite: func(q *httputil.ProxyRequest) {
 			q.SetURL(&url.URL{Scheme: "http", Host: p.addr.String()})
@@ -89,11 +98,16 @@
 		},
 		Transport:     t,
 		FlushInterval: -1,
+		ModifyResponse: func(a *http.Response) error {
+			status = a.StatusCode
+			return nil
+		},
 		ErrorHandler: func(_ http.ResponseWriter, _ *http.Request, err error) {
 			failed = a.classify(err)
 		},
 	}
 	v.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), attemptKey{}, a)))
+	whole = true
 	return failed
 }
 
--- a/caller/endpoint.go
+++ b/caller/endpoint.go
@@ -5,9 +5,12 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +57,8 @@
 		Send func(p []byte, to netip.AddrPort) error
 		// Count makes connection IDs unique across the endpoints of a run.
 		Count *atomic.Uint32
+		// Clock tells how long connections are idle.
+		Clock balsampier.Clock
 	}
 
 	// Endpoint terminates the connections to one service address.
@@ -61,13 +66,26 @@
 		conn      *packetConn
 		transport *quic.Transport
 		listener  *quic.EarlyListener
-		server    *http3.Server
+		handler   http.Handler
+		clock     balsampier.Clock
+
+		mu sync.Mutex
+		// current takes new connections.
+		current *generation
+		// leaving are earlier generations that still have connections.
+		leaving map[*generation]struct{}
+		// ended is true once no generation follows.
+		ended bool
 	}
 )
 
 // NewEndpoint returns an endpoint that waits for Deliver.
 func NewEndpoint(o Options) (*Endpoint, error) {
-	e := &Endpoint{conn: newPacketConn(o.ServiceAddr, endpointRingDepth, o.Send)}
+	e := &Endpoint{
+		conn: newPacketConn(o.ServiceAddr, endpointRingDepth, o.Send), handler: o.Handler, clock: o.Clock,
+		leaving: make(map[*generation]struct{}),
+	}
+	e.current = newGeneration(e.handler, e.clock)
 	reset := quic.StatelessResetKey(sha256.Sum256(append([]byte("balsampier stateless reset "), o.Key...)))
 	e.transport = &quic.Transport{
 		Conn:                  e.conn,
@@ -84,7 +102,6 @@
 		return nil, trace.Wrap(err, "listen for callers of %s", o.ServiceAddr)
 	}
 	e.listener = l
-	e.server = &http3.Server{Handler: o.Handler}
 	return e, nil
 }
 
@@ -93,27 +110,98 @@
 	return e.conn.deliver(c, payload, from)
 }
 
-// Serve answers connections until Shutdown or Close.
+// Serve answers connections until Close.
 func (e *Endpoint) Serve() error {
-	err := e.server.ServeListener(e.listener)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, quic.ErrServerClosed) {
-		return nil
+	for {
+		q, err := e.listener.Accept(context.Background())
+		if errors.Is(err, quic.ErrServerClosed) {
+			return nil
+		}
+		if err != nil {
+			return trace.Wrap(err, "serve callers")
+		}
+		go e.serve(q)
+	}
+}
+
+// serve answers the requests of a connection in the generation that takes new
+// ones.
+func (e *Endpoint) serve(q *quic.Conn) {
+	for {
+		e.mu.Lock()
+		g, ended := e.current, e.ended
+		e.mu.Unlock()
+		// A generation that is left has a successor unless the endpoint ended.
+		if g.serve(q) {
+			return
+		}
+		if ended {
+			_ = q.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), connectAgain)
+			return
+		}
 	}
-	return trace.Wrap(err, "serve callers")
+}
+
+// TurnAway asks the callers of all connections to go away. Running requests
+// go on until c ends; connections without any are closed. Later connections
+// are served as before.
+func (e *Endpoint) TurnAway(c context.Context) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended || e.current.count() == 0 {
+		return
+	}
+	g := e.current
+	e.leaving[g] = struct{}{}
+	e.current = newGeneration(e.handler, e.clock)
+	go func() {
+		_ = g.end(c)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.leaving, g)
+	}()
 }
 
 // Shutdown asks callers to go away and waits for running requests.
 func (e *Endpoint) Shutdown(c context.Context) error {
-	return trace.Wrap(e.server.Shutdown(c))
+	var w sync.WaitGroup
+	gs := e.finish()
+	errs := make([]error, len(gs))
+	for i, g := range gs {
+		w.Go(func() { errs[i] = g.end(c) })
+	}
+	w.Wait()
+	return trace.Wrap(errors.Join(errs...))
+}
+
+// Connections counts the open connections.
+func (e *Endpoint) Connections() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.current.count()
+	for g := range e.leaving {
+		n += g.count()
+	}
+	return n
 }
 
 // Close ends the endpoint at once.
 func (e *Endpoint) Close() error {
-	_ = e.server.Close()
+	for _, g := range e.finish() {
+		g.close()
+	}
 	_ = e.transport.Close()
 	return e.conn.Close()
 }
 
+// finish keeps further generations from coming and returns all there are.
+func (e *Endpoint) finish() []*generation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	return append(slices.Collect(maps.Keys(e.leaving)), e.current)
+}
+
 func quicConfig(accept func(netip.AddrPort) error) *quic.Config {
 	q := &quic.Config{
 		HandshakeIdleTimeout:    handshakeTimeout,
--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -59,9 +59,12 @@
 		stopping atomic.Bool
 
 		peers     *net.UDPConn
-		envelopes *ring.Ring[[]byte]
+		envelopes *ring.Ring[arrival]
 		out       *ring.Ring[outbound]
 		admission *admission
+		// placement belongs to the thread that decides on envelopes.
+		placement *placement
+		health    *health
 		streams   atomic.Int64
 		counters  counters
 		// ids makes connection IDs unique across endpoints.
@@ -130,7 +133,7 @@
 	a := &Agent{
 		s: s, clock: k, random: r, key: key, codec: codec, sealer: peer.NewSealer(key), cert: cert,
 		log:       process.NewLogger("agent", s.Name, s.Level()),
-		envelopes: ring.New[[]byte]("envelopes", s.RingDepth, ring.DropNewest),
+		envelopes: ring.New[arrival]("envelopes", s.RingDepth, ring.DropNewest),
 		out:       ring.New[outbound]("outbound", s.RingDepth, ring.DropNewest),
 		endpoints: make(map[netip.AddrPort]*endpoint),
 		counters:  newCounters(),
@@ -141,6 +144,9 @@
 		},
 	}
 	a.admission = newAdmission(admit.New(0, s.QueueDepth), k, s.RingDepth)
+	a.placement = newPlacement(a.self.Holder(), r)
+	a.health = newHealth(a.self.ID, s.RingDepth)
+	ring.Register(a.health.events)
 	ring.Register(a.envelopes)
 	ring.Register(a.out)
 	ring.Register(a.admission.events)
@@ -166,6 +172,9 @@
 		duty.New("send envelopes", a.send),
 		duty.New("admit requests", a.admission.run),
 		duty.New("close endpoints", a.closeEndpoints),
+		duty.New("exchange loads", a.exchangeLoads),
+		duty.New("judge backend server", a.judge),
+		duty.New("ask backend server", a.ask),
 	}, a.session.Threads()...)
 }
 
@@ -178,7 +187,7 @@
 	}
 	m := a.self
 	m.Service, m.Slots = v.Service, v.Slots
-	m.Draining = v.Draining || a.stopping.Load()
+	m.Draining = v.Draining || a.stopping.Load() || a.health.away()
 	return m, true
 }
 
@@ -220,6 +229,7 @@
 		return balsampier.NewError(balsampier.KindConflict, "change service "+string(old.Service)+" to "+string(n.Service),
 			"restart the agent, so that no caller of the one reaches the other", nil)
 	}
+	a.health.post(healthEvent{kind: healthAnnounced})
 	if old != nil && old.Announcement == n {
 		return nil
 	}
@@ -231,6 +241,7 @@
 		v.proxy = old.proxy
 	} else {
 		v.proxy = backend.NewProxy(n.Addr)
+		v.proxy.Observe = a.observe
 	}
 	a.server.Store(v)
 	a.admission.setSlots(n.Slots)
--- a/cmd/agent/app/dump.go
+++ b/cmd/agent/app/dump.go
@@ -32,6 +32,9 @@
 		Endpoints   []string               `json:"endpoints"`
 		Members     members.Summary        `json:"members"`
 		Rings       []ring.Stats           `json:"rings"`
+		Connections int                    `json:"connections"`
+		Ejected     bool                   `json:"ejected"`
+		Down        bool                   `json:"down"`
 	}
 
 	// LoadDump is the load of the backend server as the agent sees it.
@@ -43,6 +46,10 @@
 
 	counters struct {
 		steered *metrics.Counter
+		// placed counts opening packets given to other agents.
+		placed *metrics.Counter
+		// loadBytes counts bytes of load reports.
+		loadBytes *metrics.Counter
 	}
 )
 
@@ -57,8 +64,9 @@
 		Name: a.s.Name, DataCentre: a.s.DataCentre, Incarnation: a.self.Incarnation, Service: m.Service,
 		Draining: m.Draining, Revision: s.Rules.Revision, Epoch: s.View.Epoch, Control: a.session.Status(),
 		Load: LoadDump{Running: l.Running, Queued: l.Queued, Slots: l.Slots}, Streams: a.streams.Load(),
-		Members: members.Summarize(s.View),
-		Rings:   []ring.Stats{a.envelopes.Stats(), a.out.Stats(), a.admission.events.Stats()},
+		Members:     members.Summarize(s.View),
+		Rings:       []ring.Stats{a.envelopes.Stats(), a.out.Stats(), a.admission.events.Stats(), a.health.events.Stats()},
+		Connections: a.connections(), Ejected: a.health.ejected.Load(), Down: a.health.down.Load(),
 	}
 	if v := a.server.Load(); v != nil {
 		d.Backend = v.Addr.String()
@@ -72,7 +80,11 @@
 }
 
 func newCounters() counters {
-	return counters{steered: metrics.GetOrCreateCounter("balsampier_agent_steered_packets_total")}
+	return counters{
+		steered:   metrics.GetOrCreateCounter("balsampier_agent_steered_packets_total"),
+		placed:    metrics.GetOrCreateCounter("balsampier_agent_placed_packets_total"),
+		loadBytes: metrics.GetOrCreateCounter("balsampier_agent_load_report_bytes_total"),
+	}
 }
 
 func (counters) drop(reason string) {
@@ -82,3 +94,7 @@
 func (counters) refuse(reason string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_refused_total{reason=%q}", reason)).Inc()
 }
+
+func (counters) hint(of string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_failed_hints_total{of=%q}", of)).Inc()
+}
--- a/cmd/agent/app/endpoint.go
+++ b/cmd/agent/app/endpoint.go
@@ -38,6 +38,7 @@
 		Handler: http.HandlerFunc(a.serve(s)),
 		Send:    func(p []byte, to netip.AddrPort) error { return a.answer(e, s, p, to) },
 		Count:   &a.ids,
+		Clock:   a.clock,
 	})
 	if err != nil {
 		return nil, err
--- a/cmd/agent/app/envelope.go
+++ b/cmd/agent/app/envelope.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -22,7 +23,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if err := a.envelopes.Push(c, b[:n]); err != nil {
+		if err := a.envelopes.Push(c, arrival{b: b[:n]}); err != nil {
 			return err
 		}
 	}
@@ -30,24 +31,37 @@
 
 // decide checks each envelope and hands its packet on.
 func (a *Agent) decide(c context.Context) error {
-	var bs [batchSize][]byte
+	var vs [batchSize]arrival
 	for {
-		n, err := a.envelopes.Pop(c, bs[:])
+		n, err := a.envelopes.Pop(c, vs[:])
 		if err != nil {
 			return err
 		}
-		for _, b := range bs[:n] {
-			e, err := a.sealer.Open(b)
-			if err != nil || e.ToCaller {
-				a.counters.drop("envelope")
-				continue
-			}
-			a.handle(c, e)
+		t := a.clock.Now()
+		for i, v := range vs[:n] {
+			a.arrived(c, v, t)
+			vs[i] = arrival{}
 		}
 	}
 }
 
-func (a *Agent) handle(c context.Context, e *peer.Envelope) {
+func (a *Agent) arrived(c context.Context, v arrival, t time.Time) {
+	if v.b == nil {
+		a.placement.loads.Count(a.self.ID, v.own)
+		return
+	}
+	e, err := a.sealer.Open(v.b)
+	switch {
+	case err != nil || e.ToCaller:
+		a.counters.drop("envelope")
+	case e.Load != nil:
+		a.learn(c, e.Load, t)
+	default:
+		a.handle(c, e, t)
+	}
+}
+
+func (a *Agent) handle(c context.Context, e *peer.Envelope, t time.Time) {
 	v := a.server.Load()
 	switch {
 	case v == nil, e.Service != "" && e.Service != v.Service:
@@ -57,7 +71,7 @@
 		a.counters.drop(balsampier.ReasonIncarnation.String())
 		return
 	}
-	if e.Opening && a.steeredElsewhere(c, e) {
+	if e.Opening && (a.steeredElsewhere(c, e, t) || a.placedElsewhere(c, e, t)) {
 		return
 	}
 	p, err := a.endpoint(e.ServiceAddr)
@@ -65,19 +79,19 @@
 		a.counters.drop("endpoint")
 		return
 	}
-	p.routes.heard(e.Caller, e.ReplyTo, a.clock.Now())
+	p.routes.heard(e.Caller, e.ReplyTo, t)
 	_ = p.Deliver(c, e.Payload, e.Caller)
 }
 
 // steeredElsewhere decides again on an opening packet when the own rules or
 // view are newer than the sender's, and hands it on if it belongs elsewhere.
-func (a *Agent) steeredElsewhere(c context.Context, e *peer.Envelope) bool {
+func (a *Agent) steeredElsewhere(c context.Context, e *peer.Envelope, t time.Time) bool {
 	s := a.session.State()
 	if s.Rules.Revision <= e.Revision && s.View.Epoch <= e.Epoch {
 		return false
 	}
 	v := a.table.Load().Steer(balsampier.Packet{
-		Caller: e.Caller, ServiceAddr: e.ServiceAddr, Flow: e.Flow, Opening: true, Hops: e.Hops, At: a.clock.Now(),
+		Caller: e.Caller, ServiceAddr: e.ServiceAddr, Flow: e.Flow, Opening: true, Hops: e.Hops, At: t,
 	})
 	if v.Action != balsampier.ActionForward {
 		// The endpoint refuses the connection through the library.
@@ -87,15 +101,20 @@
 		return false
 	}
 	e.Service, e.Incarnation, e.Revision, e.Epoch = v.Service, v.Target.Incarnation, v.Revision, v.Epoch
+	a.counters.steered.Inc()
+	a.passOn(c, e, v.Addr)
+	return true
+}
+
+// passOn sends the packet to another agent.
+func (a *Agent) passOn(c context.Context, e *peer.Envelope, to netip.AddrPort) {
 	e.Hops++
 	b, err := a.sealer.Seal(make([]byte, 0, peer.MaxEnvelopeBytes), e)
 	if err != nil {
 		a.counters.drop("encode")
-		return true
+		return
 	}
-	a.counters.steered.Inc()
-	_ = a.out.Push(c, outbound{to: v.Addr, b: b})
-	return true
+	_ = a.out.Push(c, outbound{to: to, b: b})
 }
 
 func (a *Agent) send(c context.Context) error {
--- /dev/null
+++ b/cmd/agent/app/load.go
@@ -0,0 +1,87 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/place"
+	"github.com/balsampier/balsampier/peer"
+)
+
+// exchangeLoads tells the own load to the thread that places flows, and to
+// some agents of the service.
+func (a *Agent) exchangeLoads(c context.Context) error {
+	for n := uint64(1); ; n++ {
+		if err := a.wait(c, place.ReportPeriod); err != nil {
+			return err
+		}
+		m, ok := a.Member()
+		if !ok {
+			continue
+		}
+		l, err := a.load(c)
+		if err != nil {
+			continue
+		}
+		_ = a.envelopes.Push(c, arrival{own: l})
+		b, err := a.sealer.SealLoad(nil, a.report(m, l, n))
+		if err != nil {
+			a.counters.drop("encode")
+			continue
+		}
+		for _, p := range place.Peers(a.session.State().View, m, place.ReportTargets, a.random) {
+			a.counters.loadBytes.Add(len(b))
+			_ = a.out.Push(c, outbound{to: p.Addr, b: b})
+		}
+	}
+}
+
+func (a *Agent) report(m balsampier.Member, l balsampier.Load, n uint64) *peer.LoadReport {
+	return &peer.LoadReport{
+		Holder: m.Holder(), Sequence: n, Service: m.Service, Load: l, Ready: l.At.Sub(l.Since), Ejected: a.health.ejected.Load(),
+	}
+}
+
+// load is the own load as the agent counts it.
+func (a *Agent) load(c context.Context) (balsampier.Load, error) {
+	v := a.server.Load()
+	if v == nil {
+		return balsampier.Load{}, balsampier.NewError(balsampier.KindUnavailable, "count load", "let the backend server announce itself", nil)
+	}
+	c, cancel := context.WithTimeout(c, dumpTimeout)
+	defer cancel()
+	l, err := a.admission.load(c)
+	if err != nil {
+		return l, err
+	}
+	l.Connections = a.connections()
+	l.At, l.Since = a.clock.Now(), v.since
+	if l.Slots <= 0 {
+		l.Slots = v.Slots
+	}
+	return l, nil
+}
+
+// connections counts the callers' connections.
+func (a *Agent) connections() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, e := range a.endpoints {
+		n += e.Connections()
+	}
+	return n
+}
+
+// wait returns after d or with the error of c.
+func (a *Agent) wait(c context.Context, d time.Duration) error {
+	t := a.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+		return nil
+	case <-c.Done():
+		return c.Err()
+	}
+}
--- a/command/eject/eject.go
+++ b/command/eject/eject.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// Learn takes in whether another instance, which alone observes its server,
+// keeps new work from it.
+func (e *Ejector) Learn(i balsampier.InstanceID, away bool) {
+	s := &server{}
+	if away {
+		s.state = Out
+	}
+	e.servers[i] = s
+}
+
 // Observe takes in what was seen of one of n servers of the service.
 func (e *Ejector) Observe(i balsampier.InstanceID, o loadview.Observed, n int, t time.Time) State {
 	s := e.servers[i]
--- a/peer/envelope.go
+++ b/peer/envelope.go
@@ -9,6 +9,7 @@
 	"hash"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -55,6 +56,24 @@
 		Flow balsampier.FlowKey
 		// Payload is the datagram, at most MaxPayloadBytes.
 		Payload []byte
+		// Load is set instead of a packet for load reports.
+		Load *LoadReport
+	}
+
+	// LoadReport is what an agent says of its load to agents of its service.
+	LoadReport struct {
+		// Holder is the run that reports.
+		Holder balsampier.Holder
+		// Sequence grows with each report of a run.
+		Sequence uint64
+		Service  balsampier.ServiceName
+		// Load is as of the sending; its times are not sent.
+		Load balsampier.Load
+		// Ready is for how long the backend server has been ready.
+		Ready time.Duration
+		// Ejected is true while the backend server gets no new flows for its
+		// faults.
+		Ejected bool
 	}
 
 	// Sealer encodes envelopes and authenticates them with a shared key. It
@@ -91,8 +110,28 @@
 	if e.ToCaller {
 		m.Direction = peerpb.Envelope_DIRECTION_TO_CALLER
 	}
+	return s.seal(b, &m)
+}
+
+// SealLoad appends the encoded load report to b.
+func (s *Sealer) SealLoad(b []byte, r *LoadReport) ([]byte, error) {
+	return s.seal(b, &peerpb.Envelope{Direction: peerpb.Envelope_DIRECTION_LOAD, Load: &peerpb.LoadReport{
+		Instance:         uint64(r.Holder.Instance),
+		Incarnation:      uint32(r.Holder.Incarnation),
+		Sequence:         r.Sequence,
+		Service:          string(r.Service),
+		Running:          uint32(r.Load.Running),
+		Queued:           uint32(r.Load.Queued),
+		Connections:      uint32(r.Load.Connections),
+		Slots:            uint32(r.Load.Slots),
+		ReadyNanoseconds: r.Ready.Nanoseconds(),
+		Ejected:          r.Ejected,
+	}})
+}
+
+func (s *Sealer) seal(b []byte, m *peerpb.Envelope) ([]byte, error) {
 	n := len(b)
-	b, err := proto.MarshalOptions{}.MarshalAppend(b, &m)
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
 	if err != nil {
 		return nil, trace.Wrap(err, "encode envelope")
 	}
@@ -113,6 +152,9 @@
 	if err := proto.Unmarshal(b[:n], &m); err != nil {
 		return nil, trace.Wrap(err, "decode envelope")
 	}
+	if m.GetDirection() == peerpb.Envelope_DIRECTION_LOAD {
+		return loadReport(m.GetLoad())
+	}
 	return envelope(&m)
 }
 
@@ -145,9 +187,31 @@
 	if !okC || !okS || len(e.Payload) == 0 {
 		return nil, errEnvelope("an address or the payload is missing")
 	}
+	if len(e.Payload) > MaxPayloadBytes || e.Hops > balsampier.MaxHops {
+		return nil, errEnvelope("the payload or the count of hops is too large")
+	}
 	return e, nil
 }
 
+func loadReport(m *peerpb.LoadReport) (*Envelope, error) {
+	if m.GetInstance() == 0 || m.GetIncarnation() == 0 || m.GetSlots() == 0 || m.GetReadyNanoseconds() < 0 {
+		return nil, errEnvelope("the load report names no run or no slots")
+	}
+	return &Envelope{Load: &LoadReport{
+		Holder: balsampier.Holder{
+			Instance: balsampier.InstanceID(m.GetInstance()), Incarnation: balsampier.Incarnation(m.GetIncarnation()),
+		},
+		Sequence: m.GetSequence(),
+		Service:  balsampier.ServiceName(m.GetService()),
+		Load: balsampier.Load{
+			Running: int(m.GetRunning()), Queued: int(m.GetQueued()),
+			Connections: int(m.GetConnections()), Slots: int(m.GetSlots()),
+		},
+		Ready:   time.Duration(m.GetReadyNanoseconds()),
+		Ejected: m.GetEjected(),
+	}}, nil
+}
+
 func errEnvelope(op string) error {
 	return balsampier.NewError(balsampier.KindInvalid, op, "run the same version everywhere", nil)
 }
--- a/query/loadview/loadview.go
+++ b/query/loadview/loadview.go
@@ -119,6 +119,12 @@
 	s.Latency += time.Duration(latencyWeight * float64(d-s.Latency))
 }
 
+// Withdraw notes that a request ended without showing anything of the server.
+func (v *View) Withdraw(i balsampier.InstanceID) {
+	s := &v.agent(i).seen
+	s.InFlight = max(0, s.InFlight-1)
+}
+
 // Observed returns what this instance saw of the agent's server.
 func (v *View) Observed(i balsampier.InstanceID) Observed {
 	if a := v.agents[i]; a != nil {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -27,6 +28,9 @@
 	announcePeriod = 500 * time.Millisecond
 	linePeriod     = 100 * time.Millisecond
 	filePerm       = 0o644
+
+	healthPath = "/healthz"
+	loadPath   = "/load"
 )
 
 type (
@@ -50,6 +54,8 @@
 		ledger *os.File
 		// draining is announced to the agent.
 		draining bool
+		// running counts requests.
+		running atomic.Int64
 	}
 )
 
@@ -70,6 +76,8 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /stream", s.stream)
 	m.HandleFunc("POST /drain", s.drain)
+	m.HandleFunc("GET "+healthPath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	m.HandleFunc("GET "+loadPath, s.load)
 	m.HandleFunc("/", s.answer)
 	h := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
 	go s.announce(c)
@@ -87,6 +95,8 @@
 		return
 	}
 	s.record(r, b)
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	t := s.o.Clock.NewTimer(s.o.Work)
 	defer t.Stop()
 	select {
@@ -119,10 +129,16 @@
 	}
 }
 
-func (s *server) drain(w http.ResponseWriter, _ *http.Request) {
+// load tells the server's own account of its load.
+func (s *server) load(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(map[string]int64{"running": s.running.Load(), "slots": int64(s.o.Slots)})
+}
+
+// drain announces a drain, or its end with ?end=1.
+func (s *server) drain(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
+	s.draining = r.URL.Query().Get("end") == ""
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -151,6 +167,7 @@
 	s.mu.Lock()
 	a := ourbackend.Announcement{
 		Service: balsampier.ServiceName(s.o.Service), Addr: s.o.Addr, Slots: s.o.Slots, Connections: s.o.Connections, Draining: s.draining,
+		HealthPath: healthPath, LoadPath: loadPath,
 	}
 	s.mu.Unlock()
 	b, err := json.Marshal(a)
