--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/phuslu/log"
 
 	"github.com/balsampier/balsampier"
@@ -105,9 +104,9 @@
 	if err != nil {
 		return err
 	}
-	h := khttp.NewServer(khttp.Listener(b))
+	h := process.NewHTTPServer(b)
 	h.Handle(backend.PathAnnounce, backend.AnnounceHandler(a.announce))
-	servers := append(a.Threads(), operator.NewServer(o, k, a.Dump, a.Ready), h)
+	servers := append(a.Threads(), operator.NewServer(o, k, a.Dump, a.Ready).AddLogLevel(a.log), h)
 	return process.Run(process.Program{
 		Name: "agent", Servers: servers, Drain: a.Drain, DrainTimeout: s.DrainTimeout, Logger: a.log,
 	})
@@ -154,6 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.session.ExportMetrics()
 	a.changed(a.session.State())
 	return a, nil
 }
--- a/cmd/agent/app/dump.go
+++ b/cmd/agent/app/dump.go
@@ -18,6 +18,7 @@
 type (
 	// Dump is the state of an agent.
 	Dump struct {
+		Program     string                 `json:"program"`
 		Name        string                 `json:"name"`
 		DataCentre  balsampier.DataCentre  `json:"dataCentre"`
 		Incarnation balsampier.Incarnation `json:"incarnation"`
@@ -54,7 +55,7 @@
 	s := a.session.State()
 	m, _ := a.Member()
 	d := Dump{
-		Name: a.s.Name, DataCentre: a.s.DataCentre, Incarnation: a.self.Incarnation, Service: m.Service,
+		Program: "agent", Name: a.s.Name, DataCentre: a.s.DataCentre, Incarnation: a.self.Incarnation, Service: m.Service,
 		Draining: m.Draining, Revision: s.Rules.Revision, Epoch: s.View.Epoch, Control: a.session.Status(),
 		Load: LoadDump{Running: l.Running, Queued: l.Queued, Slots: l.Slots}, Streams: a.streams.Load(),
 		Members: members.Summarize(s.View),
--- a/cmd/agent/cmd/root.go
+++ b/cmd/agent/cmd/root.go
@@ -8,6 +8,6 @@
 
 // Execute runs the command line.
 func Execute() error {
-	return process.NewCommand[app.Settings]("agent",
-		"Answer the callers of the backend server beside it", app.Run).Execute()
+	return process.Execute(process.NewCommand[app.Settings]("agent",
+		"Answer the callers of the backend server beside it", app.Run))
 }
--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	servers := append(b.Threads(), operator.NewServer(l, k, b.Dump, b.Ready))
+	servers := append(b.Threads(), operator.NewServer(l, k, b.Dump, b.Ready).AddLogLevel(b.log))
 	return process.Run(process.Program{
 		Name: "balancer", Servers: servers, Drain: b.Drain, DrainTimeout: drainTimeout, Logger: b.log,
 	})
@@ -130,6 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
+	b.session.ExportMetrics()
 	b.changed(b.session.State())
 	return b, nil
 }
--- a/cmd/balancer/app/dump.go
+++ b/cmd/balancer/app/dump.go
@@ -14,6 +14,7 @@
 type (
 	// Dump is the state of a balancer.
 	Dump struct {
+		Program     string                 `json:"program"`
 		Name        string                 `json:"name"`
 		DataCentre  balsampier.DataCentre  `json:"dataCentre"`
 		Incarnation balsampier.Incarnation `json:"incarnation"`
@@ -37,7 +38,7 @@
 func (b *Balancer) Dump() any {
 	s := b.session.State()
 	d := Dump{
-		Name: b.s.Name, DataCentre: b.s.DataCentre, Incarnation: b.member.Incarnation,
+		Program: "balancer", Name: b.s.Name, DataCentre: b.s.DataCentre, Incarnation: b.member.Incarnation,
 		Revision: s.Rules.Revision, Epoch: s.View.Epoch, Control: b.session.Status(),
 		Draining: b.draining.Load(), Members: members.Summarize(s.View),
 		Forwarded: b.counters.forwarded.Get(), Answered: b.counters.answered.Get(),
--- a/cmd/balancer/cmd/root.go
+++ b/cmd/balancer/cmd/root.go
@@ -8,6 +8,6 @@
 
 // Execute runs the command line.
 func Execute() error {
-	return process.NewCommand[app.Settings]("balancer",
-		"Take packets from the fabric and forward them to agents", app.Run).Execute()
+	return process.Execute(process.NewCommand[app.Settings]("balancer",
+		"Take packets from the fabric and forward them to agents", app.Run))
 }
--- /dev/null
+++ b/cmd/balsampier/cmd/explain.go
@@ -0,0 +1,152 @@
+package cmd
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/operator/report"
+	"github.com/balsampier/balsampier/operator/rulefile"
+	"github.com/balsampier/balsampier/query/explain"
+	"github.com/balsampier/balsampier/query/zonetable"
+)
+
+const localLayout = "2006-01-02T15:04:05"
+
+// question is what explain is asked for.
+type question struct {
+	to, from, at, local string
+	accepted            bool
+}
+
+func newExplain(f *flags) *cobra.Command {
+	var q question
+	e := &cobra.Command{
+		Use: "explain (FILE | --accepted)", Short: "Explain which rule a packet meets", Args: cobra.MaximumNArgs(1),
+		Long: `Explain which rule a new connection meets, and why, by a file or by the accepted
+rules. With --local the time is read on the wall clock of that zone: a time that
+the clock repeats is explained twice, one that it skips not at all.`,
+		Example: `  balsampier explain --to 203.0.113.7:443 --from 192.0.2.10 --accepted
+  balsampier explain --to 203.0.113.7:443 --from 192.0.2.10 --at 2027-03-14T10:00:00Z rules.txt
+  balsampier explain --to 203.0.113.7:443 --from 192.0.2.10 --at 2027-11-07T01:30 --local America/Vancouver rules.txt`,
+		RunE: func(c *cobra.Command, args []string) error {
+			to, from, err := q.packet()
+			if err != nil {
+				return err
+			}
+			r, err := f.rulesFor(c, q, args)
+			if err != nil {
+				return err
+			}
+			ts, err := q.times(r.zones, f.clock.Now())
+			if err != nil {
+				return err
+			}
+			for _, t := range ts {
+				p := balsampier.Packet{ServiceAddr: to, Caller: netip.AddrPortFrom(from, 0), At: t}
+				x, err := explain.Explain(r.revision, r.rules, r.zones, p)
+				if err != nil {
+					return err
+				}
+				if err := report.Explanation(c.OutOrStdout(), x); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	e.Flags().StringVar(&q.to, "to", "", "service `address:port` of the packet")
+	e.Flags().StringVar(&q.from, "from", "", "caller's `address`")
+	e.Flags().StringVar(&q.at, "at", "", "`time` as 2027-03-14T10:00:00Z, or 2027-03-14T02:00 with --local; now if left out")
+	e.Flags().StringVar(&q.local, "local", "", "`zone` on whose wall clock the time is read")
+	e.Flags().BoolVar(&q.accepted, "accepted", false, "ask by the accepted rules and their zone tables")
+	return e
+}
+
+func (q question) packet() (to netip.AddrPort, from netip.Addr, err error) {
+	if to, err = netip.ParseAddrPort(q.to); err != nil {
+		return to, from, balsampier.NewError(balsampier.KindInvalid, "read --to "+q.to, "write address:port", err)
+	}
+	if from, err = netip.ParseAddr(q.from); err != nil {
+		return to, from, balsampier.NewError(balsampier.KindInvalid, "read --from "+q.from, "write an address without a port", err)
+	}
+	return to, from, nil
+}
+
+func (f *flags) rulesFor(c *cobra.Command, q question, args []string) (compiled, error) {
+	if q.accepted != (len(args) == 0) {
+		return compiled{}, balsampier.NewError(balsampier.KindInvalid, "choose rules", "give a file or --accepted, not both", nil)
+	}
+	if q.accepted {
+		return f.acceptedRules(c)
+	}
+	text, err := readRules(args[0])
+	if err != nil {
+		return compiled{}, err
+	}
+	r, ps, err := compile(text, f.clock.Now())
+	if err == nil && rulefile.Failed(ps) {
+		_ = report.Problems(c.ErrOrStderr(), ps)
+		err = balsampier.NewError(balsampier.KindInvalid, "read "+args[0], "correct the lines named", nil)
+	}
+	return r, err
+}
+
+func (f *flags) acceptedRules(c *cobra.Command) (compiled, error) {
+	l, err := f.client(f.control)
+	if err != nil {
+		return compiled{}, err
+	}
+	x, cancel := f.context(c)
+	defer cancel()
+	a, err := l.Rules(x)
+	if err != nil {
+		return compiled{}, err
+	}
+	p, ps := rulefile.Parse(a.Text)
+	if rulefile.Failed(ps) {
+		return compiled{}, balsampier.NewError(balsampier.KindInvalid, "read the accepted rules", "use the version that control runs", nil)
+	}
+	return compiled{revision: a.Revision, rules: p.Rules, zones: a.Tables()}, nil
+}
+
+// times returns the instants that are meant.
+func (q question) times(zs []balsampier.ZoneTable, now time.Time) ([]time.Time, error) {
+	switch {
+	case q.at == "" && q.local == "":
+		return []time.Time{now}, nil
+	case q.local == "":
+		t, err := time.Parse(time.RFC3339, q.at)
+		if err != nil {
+			return nil, balsampier.NewError(balsampier.KindInvalid, "read --at "+q.at, "write 2027-03-14T10:00:00Z, or give --local", err)
+		}
+		return []time.Time{t}, nil
+	}
+	l, err := parseLocal(q.at)
+	if err != nil {
+		return nil, err
+	}
+	for _, z := range zs {
+		if z.Zone != q.local {
+			continue
+		}
+		if ts := zonetable.Instants(z, l); len(ts) > 0 {
+			return ts, nil
+		}
+		return nil, balsampier.NewError(balsampier.KindInvalid, "read --at "+q.at, "the clock of "+q.local+" skips this time; give another", nil)
+	}
+	return nil, balsampier.NewError(balsampier.KindInvalid, "read --local "+q.local, "give a zone that the rules name", nil)
+}
+
+func parseLocal(s string) (time.Time, error) {
+	t, err := time.Parse(localLayout, s)
+	if err != nil {
+		t, err = time.Parse(localLayout[:len("2006-01-02T15:04")], s)
+	}
+	if err != nil {
+		return t, balsampier.NewError(balsampier.KindInvalid, "read --at "+s, "write 2027-03-14T02:00", err)
+	}
+	return t, nil
+}
--- a/cmd/balsampier/cmd/root.go
+++ b/cmd/balsampier/cmd/root.go
@@ -2,43 +2,83 @@
 package cmd
 
 import (
+	"context"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
 	"github.com/balsampier/balsampier/operator"
+	"github.com/balsampier/balsampier/process"
 	"github.com/balsampier/balsampier/settings"
 )
 
+const (
+	defaultControl = "http://127.0.0.1:7100"
+	defaultKeyFile = "operator.key"
+	defaultTimeout = 30 * time.Second
+	filePerm       = 0o644
+)
+
 // flags are shared by all commands.
 type flags struct {
+	clock balsampier.Clock
 	// control lists base URLs of control instances.
 	control []string
 	keyFile string
+	// timeout bounds a command that asks processes.
+	timeout time.Duration
 }
 
 // Execute runs the command line.
-func Execute() error { return newRoot().Execute() }
+func Execute() error {
+	root := newRoot(clock.System{})
+	root.SetOut(os.Stdout)
+	return process.Execute(root)
+}
 
-func newRoot() *cobra.Command {
-	var f flags
+func newRoot(k balsampier.Clock) *cobra.Command {
+	f := flags{clock: k}
 	root := &cobra.Command{
-		Use: "balsampier", Short: "Drive balsampier by one rule file", SilenceUsage: true, SilenceErrors: true,
-		Long: `Drive balsampier by one rule file: edit it, check it, submit it.
+		Use: "balsampier", Short: "Drive balsampier by one rule file", Version: process.Version(),
+		SilenceUsage: true, SilenceErrors: true,
+		Long: `Drive balsampier by one rule file: fetch it, edit it, check it, submit it.
 
 Exit codes: 0 done, 1 failed at run time or lost a race, 2 wrong input.`,
+		Example: `  balsampier rules --output rules.txt
+  $EDITOR rules.txt
+  balsampier check rules.txt
+  balsampier explain --to 203.0.113.7:443 --from 192.0.2.10 --at 2027-03-14T02:00 --local America/Vancouver rules.txt
+  balsampier submit rules.txt
+  balsampier status`,
 	}
-	root.SetOut(os.Stdout)
-	root.PersistentFlags().StringSliceVar(&f.control, "control", []string{"http://127.0.0.1:7100"}, "operator `URLs` of the control instances")
-	root.PersistentFlags().StringVar(&f.keyFile, "key-file", "operator.key", "`file` with the operators' key")
-	root.AddCommand(newCheck(), newSubmit(&f), newRules(&f), newStatus(&f), newDump(&f), newCert(), newKey())
+	p := root.PersistentFlags()
+	p.StringSliceVar(&f.control, "control", []string{defaultControl}, "operator `URLs` of the control instances")
+	p.StringVar(&f.keyFile, "key-file", defaultKeyFile, "`file` with the operators' key")
+	p.DurationVar(&f.timeout, "timeout", defaultTimeout, "how long to ask and to wait")
+	root.AddCommand(newCheck(&f), newExplain(&f), newSubmit(&f), newRules(&f), newStatus(&f), newDump(&f), newLogLevel(&f),
+		newCert(), newKey(), newVersion())
 	return root
 }
 
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs, Example: "  balsampier version",
+		Run: func(c *cobra.Command, _ []string) { c.Println("balsampier " + process.Version()) },
+	}
+}
+
 func (f *flags) client(urls []string) (*operator.Client, error) {
 	k, err := settings.ReadKey(f.keyFile)
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewClient(urls, k), nil
+	return operator.NewClient(urls, k, f.clock), nil
+}
+
+// context returns the context of c, bounded by the flag.
+func (f *flags) context(c *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.Context(), f.timeout)
 }
--- a/cmd/balsampier/cmd/secrets.go
+++ b/cmd/balsampier/cmd/secrets.go
@@ -8,6 +8,7 @@
 	"crypto/x509/pkix"
 	"encoding/hex"
 	"encoding/pem"
+	"errors"
 	"math/big"
 	"net"
 	"net/netip"
@@ -16,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/clock"
 )
 
@@ -53,7 +55,10 @@
 			if err := writeNew(args[1], key); err != nil {
 				return err
 			}
-			return writeNew(args[0], cert)
+			if err := writeNew(args[0], cert); err != nil {
+				return errors.Join(err, os.Remove(args[1]))
+			}
+			return nil
 		},
 	}
 	c.Flags().StringSliceVar(&hosts, "host", []string{"localhost", "127.0.0.1"}, "names and addresses in the certificate")
@@ -99,7 +104,7 @@
 func writeNew(path string, b []byte) error {
 	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, secretPerm)
 	if err != nil {
-		return err
+		return balsampier.NewError(balsampier.KindInvalid, "write "+path, "name a new file in a folder that can be written", err)
 	}
 	if _, err := f.Write(b); err != nil {
 		return err
--- a/cmd/balsampier/cmd/submit.go
+++ b/cmd/balsampier/cmd/submit.go
@@ -1,120 +1,153 @@
 package cmd
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
 	"fmt"
-	"os"
 
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/operator"
+	"github.com/balsampier/balsampier/operator/report"
 )
 
-// stateSuffix names the file that is kept beside a rule file.
-const stateSuffix = ".state"
-
-// fileState is kept beside a rule file between commands.
-type fileState struct {
-	// Base is the revision that the file was edited from.
-	Base balsampier.Revision `json:"base"`
-	// Pending is the submission that was not answered yet; nil without one.
-	Pending *operator.SubmitBody `json:"pending,omitempty"`
+// submission is one run of the submit command.
+type submission struct {
+	*flags
+	c    *cobra.Command
+	l    *operator.Client
+	path string
+	text string
 }
 
 func newSubmit(f *flags) *cobra.Command {
-	return &cobra.Command{
-		Use: "submit FILE", Short: "Submit a rule file; a submission that was not answered is sent again as it was",
-		Args: cobra.ExactArgs(1), Example: "  balsampier rules -o rules.txt\n  $EDITOR rules.txt\n  balsampier submit rules.txt",
+	var wait bool
+	s := &cobra.Command{
+		Use: "submit FILE", Short: "Submit a rule file and wait until it is in force", Args: cobra.ExactArgs(1),
+		Long: `Submit a rule file and wait until it is in force on every balancer and agent.
+
+An accepted file is final, also before it is in force everywhere. A submission
+whose answer was lost stays beside the file; submitting the same text again
+sends the very same submission, which is accepted at most once.`,
+		Example: "  balsampier rules --output rules.txt\n  $EDITOR rules.txt\n  balsampier submit rules.txt\n  balsampier submit --wait=false rules.txt",
 		RunE: func(c *cobra.Command, args []string) error {
-			l, err := f.client(f.control)
+			text, err := readRules(args[0])
 			if err != nil {
 				return err
 			}
-			b, err := pending(args[0])
+			l, err := f.client(f.control)
 			if err != nil {
 				return err
 			}
-			a, err := l.Submit(c.Context(), b)
-			return answer(c, args[0], b, a, err)
+			x, cancel := f.context(c)
+			defer cancel()
+			r, err := submission{flags: f, c: c, l: l, path: args[0], text: text}.run(x)
+			if err != nil || !wait {
+				return err
+			}
+			return f.follow(x, c, l, args[0], r)
 		},
 	}
+	s.Flags().BoolVar(&wait, "wait", true, "wait until the file is in force everywhere")
+	return s
 }
 
-// pending returns the submission to send and records it beside the file
-// before it is sent.
-func pending(path string) (operator.SubmitBody, error) {
-	var b operator.SubmitBody
-	text, err := readRules(path)
+// run returns the revision that the text was accepted as.
+func (s submission) run(c context.Context) (balsampier.Revision, error) {
+	st, err := readState(s.path)
 	if err != nil {
-		return b, err
+		return 0, err
 	}
-	s, err := readState(path)
+	if st.Pending == nil {
+		a, err := s.l.Rules(c)
+		if err != nil {
+			return 0, err
+		}
+		if a.Revision > 0 && a.Text == s.text {
+			s.c.Printf("%s: unchanged, it is revision %d already\n", s.path, a.Revision)
+			return a.Revision, writeState(s.path, fileState{Base: a.Revision})
+		}
+	}
+	if st, err = s.open(st); err != nil {
+		return 0, err
+	}
+	a, err := s.l.Submit(c, *st.Pending)
 	if err != nil {
-		return b, err
+		return 0, s.failed(st, err)
+	}
+	if !a.Accepted {
+		return 0, s.lost(c, st, a.Revision)
 	}
-	if s.Pending != nil {
-		if s.Pending.Text != text {
-			return b, balsampier.NewError(balsampier.KindConflict, "submit "+path,
-				fmt.Sprintf("an earlier text was sent and its answer is not known: restore it and submit, or fetch the rules anew; it is kept in %s", path+stateSuffix), nil)
+	if err := report.Problems(s.c.ErrOrStderr(), a.Warnings()); err != nil {
+		return 0, err
+	}
+	s.c.Printf("%s: accepted as revision %d\n", s.path, a.Revision)
+	return a.Revision, writeState(s.path, fileState{Base: a.Revision})
+}
+
+// open records the submission beside the file before it is sent. A text that
+// was edited since an unanswered submission goes out under a new ID on the same
+// base, on which at most one of the two is accepted.
+func (s submission) open(st fileState) (fileState, error) {
+	if st.Pending != nil {
+		if st.Pending.Text == s.text {
+			s.c.Printf("%s: sending the submission again whose answer is not known\n", s.path)
+			return st, nil
 		}
-		return *s.Pending, nil
+		s.c.Printf("%s: the answer to an earlier text is not known; at most one of the two is accepted\n", s.path)
+		st.Earlier = st.Pending.Text
 	}
 	id, err := uuid.NewV7()
 	if err != nil {
-		return b, err
+		return st, err
 	}
-	b = operator.SubmitBody{ID: id, Base: s.Base, Text: text}
-	s.Pending = &b
-	return b, writeState(path, s)
+	st.Pending = &operator.SubmitBody{ID: id, Base: st.Base, Text: s.text}
+	return st, writeState(s.path, st)
 }
 
-// answer reports the outcome and forgets the pending submission once the
-// outcome is known.
-func answer(c *cobra.Command, path string, b operator.SubmitBody, a operator.SubmitAnswer, err error) error {
+// failed keeps the submission for a resend unless it was refused for good.
+func (s submission) failed(st fileState, err error) error {
 	var r *operator.Refused
-	switch k := balsampier.KindOf(err); {
-	case errors.As(err, &r) && (k == balsampier.KindInvalid || k == balsampier.KindUnauthenticated):
-		printProblems(c, path, r.Problems)
-		return errors.Join(err, writeState(path, fileState{Base: b.Base}))
-	case err != nil:
+	if errors.As(err, &r) && balsampier.KindOf(err) == balsampier.KindInvalid {
+		return errors.Join(err, report.Problems(s.c.ErrOrStderr(), r.Problems), writeState(s.path, fileState{Base: st.Base}))
+	}
+	if balsampier.KindOf(err) == balsampier.KindUnauthenticated {
 		return err
-	case !a.Accepted:
-		return errors.Join(balsampier.NewError(balsampier.KindConflict, "submit "+path,
-			fmt.Sprintf("revision %d won; fetch it with balsampier rules -o, add your change and submit again", a.Revision), nil),
-			writeState(path, fileState{Base: b.Base}))
 	}
-	printProblems(c, path, a.Problems)
-	c.Printf("%s: accepted as revision %d\n", path, a.Revision)
-	return writeState(path, fileState{Base: a.Revision})
+	return balsampier.NewError(balsampier.KindUnknown, "submit "+s.path,
+		"the answer is not known: submit again, which sends the same submission and is accepted at most once", err)
 }
 
-func readState(path string) (fileState, error) {
-	var s fileState
-	b, err := os.ReadFile(path + stateSuffix)
-	if errors.Is(err, os.ErrNotExist) {
-		return s, nil
-	}
-	if err != nil {
-		return s, err
+// lost reports the revision that won.
+func (s submission) lost(c context.Context, st fileState, won balsampier.Revision) error {
+	remedy := fmt.Sprintf("revision %d won: fetch it with balsampier rules --output to another file, carry your change over and submit that file", won)
+	next := fileState{Base: st.Base}
+	if a, err := s.l.Rules(c); err == nil && st.Earlier != "" && a.Text == st.Earlier {
+		next.Base = a.Revision
+		remedy = fmt.Sprintf("the earlier text of this file was accepted as revision %d: submit again to replace it", a.Revision)
 	}
-	if err := json.Unmarshal(b, &s); err != nil {
-		return s, balsampier.NewError(balsampier.KindInvalid, "read "+path+stateSuffix, "fetch the rules anew with balsampier rules -o", err)
-	}
-	return s, nil
+	return errors.Join(balsampier.NewError(balsampier.KindConflict, "submit "+s.path, remedy, nil), writeState(s.path, next))
 }
 
-// writeState replaces the file whole or not at all.
-func writeState(path string, s fileState) error {
-	b, err := json.MarshalIndent(s, "", "  ")
+// follow waits until revision r is in force and tells where it is not.
+func (f *flags) follow(c context.Context, k *cobra.Command, l *operator.Client, path string, r balsampier.Revision) error {
+	s, err := f.waitInForce(c, l, r)
 	if err != nil {
-		return err
+		return balsampier.NewError(balsampier.KindUnavailable, "follow the roll-out of "+path,
+			fmt.Sprintf("the file is accepted; run balsampier status --wait-for %d", r), err)
 	}
-	t := path + stateSuffix + ".new"
-	if err := os.WriteFile(t, b, filePerm); err != nil {
-		return err
+	k.Printf("%s: %s\n", path, summary(s))
+	if s.InForce(r) {
+		return nil
+	}
+	var ms []operator.MemberStatus
+	for _, m := range s.Members {
+		if m.InForce < r {
+			ms = append(ms, m)
+		}
 	}
-	return os.Rename(t, path+stateSuffix)
+	k.Printf("accepted, yet not in force on:\n")
+	return errors.Join(printMembers(k.OutOrStdout(), ms), notInForce(r, f.timeout))
 }
--- a/cmd/balsampier/main.go
+++ b/cmd/balsampier/main.go
@@ -2,6 +2,8 @@
 package main
 
 import (
+	_ "time/tzdata" // zones are checked by the built-in data
+
 	"github.com/balsampier/balsampier/cmd/balsampier/cmd"
 	"github.com/balsampier/balsampier/process"
 )
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -120,6 +120,7 @@
 	}
 	os := operator.NewServer(o, opKey, t.Dump, t.Ready)
 	os.AddRules(t, t)
+	os.AddLogLevel(t.log)
 	return process.Run(process.Program{
 		Name: "control", Servers: append(t.Threads(), ps, os), Drain: t.Drain, DrainTimeout: drainTimeout, Logger: t.log,
 	})
@@ -165,6 +166,7 @@
 	t.replica = newReplica(n)
 	st := n.Status()
 	t.status.Store(&st)
+	t.registerMetrics()
 	ring.Register(t.inputs)
 	ring.Register(t.work)
 	ring.Register(t.committed)
--- a/cmd/control/app/apply.go
+++ b/cmd/control/app/apply.go
@@ -20,6 +20,9 @@
 		outcome chan outcome
 		// snapshot asks for a snapshot behind the entry.
 		snapshot bool
+		// lookup asks for the recorded answer to a submission, without an
+		// entry; zero for entries.
+		lookup balsampier.SubmissionID
 	}
 
 	// state is owned by the apply thread.
@@ -51,6 +54,11 @@
 	if m.restore != nil {
 		return t.restore(*m.restore)
 	}
+	if m.lookup != (balsampier.SubmissionID{}) {
+		a, _ := t.state.s.Answer(m.lookup)
+		m.outcome <- outcome{answer: a}
+		return nil
+	}
 	o, err := t.applyEntry(m.entry)
 	if err != nil {
 		return err
--- a/cmd/control/app/operator.go
+++ b/cmd/control/app/operator.go
@@ -11,6 +11,7 @@
 	"github.com/balsampier/balsampier/operator"
 	"github.com/balsampier/balsampier/operator/rulefile"
 	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/query/check"
 	"github.com/balsampier/balsampier/query/members"
 	"github.com/balsampier/balsampier/query/zonetable"
 	"github.com/balsampier/balsampier/ring"
@@ -19,6 +20,7 @@
 type (
 	// Dump is the state of a control instance.
 	Dump struct {
+		Program  string              `json:"program"`
 		Name     string              `json:"name"`
 		Revision balsampier.Revision `json:"revision"`
 		Epoch    balsampier.Epoch    `json:"epoch"`
@@ -42,20 +44,24 @@
 	}
 )
 
-// Submit implements operator.RuleCommands.
+// Submit implements operator.RuleCommands. A resend gets the answer that was
+// recorded, also when its file would be refused by now.
 func (t *Control) Submit(c context.Context, b balsampier.Submission) (balsampier.SubmissionAnswer, []balsampier.Problem, error) {
 	var none balsampier.SubmissionAnswer
-	f, ps := rulefile.Parse(b.Text)
-	if rulefile.Failed(ps) {
-		return none, ps, balsampier.NewError(balsampier.KindInvalid, "read rule file", "correct the lines named and submit again", nil)
-	}
 	if t.status.Load().Role != replicate.RoleLeader {
-		return none, ps, errNotLeader()
+		return none, nil, countRefusal(errNotLeader())
 	}
 	b.At = t.clock.Now()
-	z, err := zonetable.Compile(f.Rules, f.Clocks, b.At)
+	z, ps, err := compile(b)
 	if err != nil {
-		return none, ps, err
+		a, ok, lookup := t.recorded(c, b.ID)
+		if lookup != nil {
+			return none, nil, countRefusal(lookup)
+		}
+		if ok {
+			return a, nil, nil
+		}
+		return none, ps, countRefusal(err)
 	}
 	b.Zones = z
 	e, err := peer.EncodeSubmission(b)
@@ -63,7 +69,51 @@
 		return none, ps, err
 	}
 	a, err := t.propose(c, e)
-	return a, ps, err
+	if err == nil && !a.Accepted {
+		countRefused(balsampier.KindConflict)
+	}
+	return a, ps, countRefusal(err)
+}
+
+// compile checks the file and returns its zone tables and its problems.
+func compile(b balsampier.Submission) ([]balsampier.ZoneTable, []balsampier.Problem, error) {
+	f, ps := rulefile.Parse(b.Text)
+	if !rulefile.Failed(ps) {
+		z, more, err := check.Check(zonetable.BuiltIn{}, f.Rules, f.Clocks, b.At)
+		ps = append(ps, more...)
+		if err != nil || !rulefile.Failed(ps) {
+			return z, ps, err
+		}
+	}
+	return nil, ps, balsampier.NewError(balsampier.KindInvalid, "read rule file", "correct the lines named and submit again", nil)
+}
+
+// recorded returns the answer that was given to the submission before.
+func (t *Control) recorded(c context.Context, id balsampier.SubmissionID) (balsampier.SubmissionAnswer, bool, error) {
+	c, cancel := context.WithTimeout(c, confirmTimeout)
+	defer cancel()
+	if _, err := t.confirmed(c); err != nil {
+		return balsampier.SubmissionAnswer{}, false, unavailable(err)
+	}
+	m := committed{lookup: id, outcome: make(chan outcome, 1)}
+	if err := t.committed.Push(c, m); err != nil {
+		return balsampier.SubmissionAnswer{}, false, unavailable(err)
+	}
+	select {
+	case o := <-m.outcome:
+		return o.answer, o.answer.ID == id, nil
+	case <-c.Done():
+		return balsampier.SubmissionAnswer{}, false, unavailable(c.Err())
+	}
+}
+
+// unavailable types errors of the context, so that operators ask again.
+func unavailable(err error) error {
+	if err == nil || balsampier.KindOf(err) != 0 {
+		return err
+	}
+	return balsampier.NewError(balsampier.KindUnavailable, "confirm with a quorum",
+		"try again; check that a majority of the control instances runs", err)
 }
 
 // Rules implements operator.RuleQueries.
@@ -72,7 +122,7 @@
 	defer cancel()
 	p, err := t.confirmed(x)
 	if err != nil {
-		return balsampier.RuleFile{}, err
+		return balsampier.RuleFile{}, unavailable(err)
 	}
 	return p.rules, nil
 }
@@ -83,36 +133,33 @@
 	defer cancel()
 	p, err := t.confirmed(x)
 	if err != nil {
-		return operator.Status{}, err
+		return operator.Status{}, unavailable(err)
 	}
 	m := command{rollouts: make(chan rollouts, 1)}
 	if err := t.commands.Push(x, m); err != nil {
-		return operator.Status{}, err
+		return operator.Status{}, unavailable(err)
 	}
-	s := operator.Status{Revision: p.rules.Revision, Epoch: p.view.Epoch, Leader: t.s.Name}
 	select {
 	case r := <-m.rollouts:
 		if r.err != nil {
-			return s, r.err
+			return operator.Status{}, r.err
 		}
-		for _, r := range r.list {
-			s.Members = append(s.Members, operator.MemberStatus{
-				Name: r.Member.Name, Role: r.Member.Role.String(), DataCentre: r.Member.DataCentre,
-				Service: r.Member.Service, Draining: r.Member.Draining, InForce: r.Applied,
-			})
+		as := make([]members.Applied, 0, len(r.list))
+		for _, v := range r.list {
+			as = append(as, members.Applied{Member: v.Member, Revision: v.Applied, Since: v.Since})
 		}
+		o := members.NewRollout(p.rules, as, members.MaxListed, t.clock.Now())
+		return operator.NewStatus(o, p.view.Epoch, t.s.Name), nil
 	case <-x.Done():
-		return s, x.Err()
+		return operator.Status{}, unavailable(x.Err())
 	}
-	slices.SortFunc(s.Members, func(a, b operator.MemberStatus) int { return cmp.Compare(a.Name, b.Name) })
-	return s, nil
 }
 
 // Dump returns the state for operators.
 func (t *Control) Dump() any {
 	p, s := t.published.Load(), t.status.Load()
 	d := Dump{
-		Name: t.s.Name, Revision: p.rules.Revision, Epoch: p.view.Epoch, Members: members.Summarize(p.view),
+		Program: "control", Name: t.s.Name, Revision: p.rules.Revision, Epoch: p.view.Epoch, Members: members.Summarize(p.view),
 		Replica: ReplicaDump{
 			Role: s.Role.String(), Term: s.Term, Leader: t.nameOf(s.Leader.Instance), Disk: diskName(s.Self),
 			Blank: s.Blank, Voters: t.namesOf(s.Set.Voters), Learners: t.namesOf(s.Set.Learners),
@@ -125,6 +172,7 @@
 	for _, p := range t.peers {
 		d.Rings = append(d.Rings, p.out.Stats())
 	}
+	slices.SortFunc(d.Rings, func(a, b ring.Stats) int { return cmp.Compare(a.Name, b.Name) })
 	return d
 }
 
--- a/cmd/control/cmd/root.go
+++ b/cmd/control/cmd/root.go
@@ -8,6 +8,6 @@
 
 // Execute runs the command line.
 func Execute() error {
-	return process.NewCommand[app.Settings]("control",
-		"Accept rule files and keep the membership", app.Run).Execute()
+	return process.Execute(process.NewCommand[app.Settings]("control",
+		"Accept rule files and keep the membership", app.Run))
 }
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,26 @@
+package control
+
+import "github.com/VictoriaMetrics/metrics"
+
+// heldLease is the name of the standing of a member with a valid lease.
+const heldLease = "held"
+
+// ExportMetrics exports how the member stands with control.
+func (s *Session) ExportMetrics() {
+	gauge := func(name string, f func(Status) float64) {
+		metrics.GetOrCreateGauge(name, func() float64 { return f(s.Status()) })
+	}
+	gauge("balsampier_member_revision", func(v Status) float64 { return float64(v.Revision) })
+	gauge("balsampier_member_epoch", func(v Status) float64 { return float64(v.Epoch) })
+	gauge("balsampier_member_lease_held", func(v Status) float64 { return toFloat(v.Lease == heldLease) })
+	gauge("balsampier_member_ready", func(v Status) float64 { return toFloat(v.Ready) })
+	gauge("balsampier_member_cut_off", func(v Status) float64 { return toFloat(v.CutOff) })
+	gauge("balsampier_member_watch_failures", func(v Status) float64 { return float64(v.Failures) })
+}
+
+func toFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -15,17 +16,24 @@
 )
 
 const (
-	clientTimeout  = 10 * time.Second
+	// attemptTimeout bounds one call, so that a frozen instance delays little.
+	attemptTimeout = 5 * time.Second
+	// retryPause stands between two rounds over all instances.
+	retryPause     = 250 * time.Millisecond
 	maxAnswerBytes = 64 << 20
 )
 
 type (
-	// Client speaks to the operators' port of processes.
+	// Client speaks to the operators' port of processes. It is not safe for
+	// use by several threads.
 	Client struct {
 		// urls are tried in turn until one answers.
 		urls []string
-		key  string
-		h    http.Client
+		// next is the index of the instance that answered last.
+		next  int
+		key   string
+		clock balsampier.Clock
+		h     http.Client
 	}
 
 	// Refused is an error answer with the faults of a rule file.
@@ -38,8 +46,12 @@
 )
 
 // NewClient returns a client for instances with the given base URLs.
-func NewClient(urls []string, key []byte) *Client {
-	return &Client{urls: urls, key: string(key), h: http.Client{Timeout: clientTimeout}}
+func NewClient(urls []string, key []byte, k balsampier.Clock) *Client {
+	l := &Client{key: string(key), clock: k, h: http.Client{Timeout: attemptTimeout}}
+	for _, u := range urls {
+		l.urls = append(l.urls, strings.TrimRight(u, "/"))
+	}
+	return l
 }
 
 // Submit sends a submission; sending it again has no further effect.
@@ -66,21 +78,43 @@
 // Dump returns the state of the process as JSON.
 func (l *Client) Dump(c context.Context) (json.RawMessage, error) {
 	var a json.RawMessage
-	err := l.do(c, http.MethodGet, "/dump", nil, &a)
+	_, err := l.round(c, http.MethodGet, "/dump", nil, &a)
 	return a, err
 }
 
-// do asks one instance after the other until one answers for the system.
+// do asks the instances in turn until one answers for the system or c ends.
+// Every call is idempotent.
 func (l *Client) do(c context.Context, method, path string, in, out any) error {
-	var last error
-	for _, u := range l.urls {
-		retry, err := l.once(c, method, u+path, in, out)
-		if !retry {
+	for {
+		retry, err := l.round(c, method, path, in, out)
+		if !retry || !l.pause(c) {
 			return err
 		}
-		last = err
 	}
-	return trace.Wrap(last)
+}
+
+// round asks each instance at most once.
+func (l *Client) round(c context.Context, method, path string, in, out any) (retry bool, err error) {
+	for range l.urls {
+		retry, err = l.once(c, method, l.urls[l.next]+path, in, out)
+		if !retry || c.Err() != nil {
+			return retry, err
+		}
+		l.next = (l.next + 1) % len(l.urls)
+	}
+	return retry, err
+}
+
+// pause reports whether there is time for another round.
+func (l *Client) pause(c context.Context) bool {
+	t := l.clock.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-t.C():
+		return c.Err() == nil
+	case <-c.Done():
+		return false
+	}
 }
 
 func (l *Client) once(c context.Context, method, url string, in, out any) (retry bool, err error) {
@@ -102,10 +136,28 @@
 	if err != nil {
 		return true, balsampier.NewError(balsampier.KindUnavailable, "read the answer of "+url, "it is safe to try again", err)
 	}
-	if a.StatusCode == http.StatusOK || a.StatusCode == http.StatusConflict {
+	if a.StatusCode == http.StatusOK || (a.StatusCode == http.StatusConflict && !isError(body)) {
 		return false, trace.Wrap(json.Unmarshal(body, out), "decode the answer of %s", url)
 	}
-	return a.StatusCode == http.StatusServiceUnavailable, refusal(body, url)
+	err = refusal(body, url)
+	return retriable(balsampier.KindOf(err)), err
+}
+
+// isError tells an error from an answer that reports a lost race.
+func isError(body []byte) bool {
+	var e ErrorBody
+	return json.Unmarshal(body, &e) == nil && e.Kind != ""
+}
+
+// retriable reports whether another instance, or the same one later, may know
+// better.
+func retriable(k balsampier.Kind) bool {
+	switch k {
+	case balsampier.KindUnavailable, balsampier.KindNotLeader, balsampier.KindUnknown, balsampier.KindFull, balsampier.KindClosed:
+		return true
+	default:
+		return false
+	}
 }
 
 func refusal(body []byte, url string) error {
@@ -115,7 +167,7 @@
 	}
 	return &Refused{
 		Err:      balsampier.NewError(balsampier.ParseKind(e.Kind), "ask "+url, "see the message", errors.New(e.Message)),
-		Problems: e.Problems,
+		Problems: problems(e.Problems),
 	}
 }
 
--- /dev/null
+++ b/operator/problem.go
@@ -0,0 +1,39 @@
+package operator
+
+import "github.com/balsampier/balsampier"
+
+// maxProblems bounds the faults of a rule file in one answer.
+const maxProblems = 1000
+
+// Problem is one fault in a rule file.
+type Problem struct {
+	// Line and Column count from 1.
+	Line    int    `json:"line"`
+	Column  int    `json:"column"`
+	Found   string `json:"found,omitempty"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+	// Warning problems do not keep a file from being accepted.
+	Warning bool `json:"warning,omitempty"`
+}
+
+// newProblems returns at most maxProblems of ps, errors before warnings.
+func newProblems(ps []balsampier.Problem) []Problem {
+	var out []Problem
+	for _, warning := range []bool{false, true} {
+		for _, p := range ps {
+			if p.Warning == warning && len(out) < maxProblems {
+				out = append(out, Problem(p))
+			}
+		}
+	}
+	return out
+}
+
+func problems(ps []Problem) []balsampier.Problem {
+	out := make([]balsampier.Problem, 0, len(ps))
+	for _, p := range ps {
+		out = append(out, balsampier.Problem(p))
+	}
+	return out
+}
--- a/operator/rules.go
+++ b/operator/rules.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -45,8 +44,8 @@
 		ID       balsampier.SubmissionID `json:"id"`
 		Accepted bool                    `json:"accepted"`
 		// Revision is the accepted revision, or the one that won.
-		Revision balsampier.Revision  `json:"revision"`
-		Problems []balsampier.Problem `json:"problems,omitempty"`
+		Revision balsampier.Revision `json:"revision"`
+		Problems []Problem           `json:"problems,omitempty"`
 	}
 
 	// RulesAnswer is the accepted rule file.
@@ -54,25 +53,22 @@
 		Revision   balsampier.Revision `json:"revision"`
 		AcceptedAt time.Time           `json:"acceptedAt"`
 		Text       string              `json:"text"`
+		// Zones are the tables that hold everywhere.
+		Zones []Zone `json:"zones,omitempty"`
 	}
 
-	// Status is the roll-out of the accepted rule file.
-	Status struct {
-		Revision balsampier.Revision `json:"revision"`
-		Epoch    balsampier.Epoch    `json:"epoch"`
-		Leader   string              `json:"leader"`
-		Members  []MemberStatus      `json:"members"`
+	// Zone lists the transitions of a zone.
+	Zone struct {
+		Zone string `json:"zone"`
+		// Transitions are sorted; the first one holds before it too.
+		Transitions []Transition `json:"transitions"`
 	}
 
-	// MemberStatus is one member's part in the roll-out.
-	MemberStatus struct {
-		Name       string                 `json:"name"`
-		Role       string                 `json:"role"`
-		DataCentre balsampier.DataCentre  `json:"dataCentre,omitempty"`
-		Service    balsampier.ServiceName `json:"service,omitempty"`
-		Draining   bool                   `json:"draining,omitempty"`
-		// InForce is the revision that the member reported last.
-		InForce balsampier.Revision `json:"inForce"`
+	// Transition is one change of a zone's offset.
+	Transition struct {
+		At time.Time `json:"at"`
+		// Offset is east of UTC.
+		Offset Duration `json:"offset"`
 	}
 )
 
@@ -88,8 +84,8 @@
 			WriteError(w, err)
 			return
 		}
-		WriteJSON(w, http.StatusOK, RulesAnswer{Revision: f.Revision, AcceptedAt: f.AcceptedAt, Text: f.Text})
-	})
+		WriteJSON(w, http.StatusOK, newRulesAnswer(f))
+	}, http.MethodGet, http.MethodPost)
 	s.HandlePrivate(pathStatus, func(w http.ResponseWriter, r *http.Request) {
 		v, err := q.Status(r.Context())
 		if err != nil {
@@ -97,16 +93,14 @@
 			return
 		}
 		WriteJSON(w, http.StatusOK, v)
-	})
+	}, http.MethodGet)
 }
 
 func submit(w http.ResponseWriter, r *http.Request, m RuleCommands) {
 	var b SubmitBody
 	// JSON may escape every byte of the text as six.
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 6*rulefile.MaxBytes+bodySlackBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&b); err != nil {
-		WriteError(w, balsampier.NewError(balsampier.KindInvalid, "read submission", "send id, base and text as JSON", err))
+	if err := readJSON(w, r, 6*rulefile.MaxBytes+bodySlackBytes, &b); err != nil {
+		WriteError(w, err)
 		return
 	}
 	if b.ID == (balsampier.SubmissionID{}) {
@@ -122,5 +116,33 @@
 	if !a.Accepted {
 		code = http.StatusConflict
 	}
-	WriteJSON(w, code, SubmitAnswer{ID: a.ID, Accepted: a.Accepted, Revision: a.Revision, Problems: ps})
+	WriteJSON(w, code, SubmitAnswer{ID: a.ID, Accepted: a.Accepted, Revision: a.Revision, Problems: newProblems(ps)})
+}
+
+func newRulesAnswer(f balsampier.RuleFile) RulesAnswer {
+	a := RulesAnswer{Revision: f.Revision, AcceptedAt: f.AcceptedAt, Text: f.Text}
+	for _, z := range f.Zones {
+		v := Zone{Zone: z.Zone}
+		for _, t := range z.Transitions {
+			v.Transitions = append(v.Transitions, Transition{At: t.At, Offset: Duration(t.Offset)})
+		}
+		a.Zones = append(a.Zones, v)
+	}
+	return a
+}
+
+// Warnings returns the problems of an accepted file.
+func (a SubmitAnswer) Warnings() []balsampier.Problem { return problems(a.Problems) }
+
+// Tables returns the zone tables of the accepted file.
+func (a RulesAnswer) Tables() []balsampier.ZoneTable {
+	out := make([]balsampier.ZoneTable, 0, len(a.Zones))
+	for _, z := range a.Zones {
+		v := balsampier.ZoneTable{Zone: z.Zone}
+		for _, t := range z.Transitions {
+			v.Transitions = append(v.Transitions, balsampier.Transition{At: t.At, Offset: time.Duration(t.Offset)})
+		}
+		out = append(out, v)
+	}
+	return out
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -5,8 +5,11 @@
 import (
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -14,9 +17,14 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/process"
 )
 
-const bearer = "Bearer "
+const (
+	bearer = "Bearer "
+	// maxSmallBytes bounds bodies that carry no rule file.
+	maxSmallBytes = 4 << 10
+)
 
 type (
 	// Server is the operators' port of a process.
@@ -32,40 +40,82 @@
 		// Message names the remedy.
 		Message string `json:"message"`
 		// Problems are the faults of a rule file.
-		Problems []balsampier.Problem `json:"problems,omitempty"`
+		Problems []Problem `json:"problems,omitempty"`
 	}
 )
 
 // NewServer returns a server on l. dump returns the state of the process and
 // ready an error while traffic must not come.
 func NewServer(l net.Listener, key []byte, dump func() any, ready func() error) *Server {
-	s := &Server{Server: khttp.NewServer(khttp.Listener(l), khttp.Timeout(0)), key: key}
-	s.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, "ok") })
-	s.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+	s := &Server{Server: process.NewHTTPServer(l), key: key}
+	s.handlePublic("/healthz", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, "ok") })
+	s.handlePublic("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := ready(); err != nil {
 			WriteError(w, err)
 			return
 		}
 		WriteJSON(w, http.StatusOK, "ready")
 	})
-	s.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	s.HandlePrivate("/dump", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, dump()) })
+	s.handlePublic("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	s.HandlePrivate("/dump", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, dump()) }, http.MethodGet)
 	return s
 }
 
-// HandlePrivate adds a handler that only operators with the key reach.
-func (s *Server) HandlePrivate(path string, h http.HandlerFunc) {
+// HandlePrivate adds a handler for some methods that only operators with the
+// key reach.
+func (s *Server) HandlePrivate(path string, h http.HandlerFunc, methods ...string) {
 	s.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-		k := strings.TrimPrefix(r.Header.Get("Authorization"), bearer)
-		if subtle.ConstantTimeCompare([]byte(k), s.key) != 1 {
+		if !s.keyShown(r) {
 			WriteError(w, balsampier.NewError(balsampier.KindUnauthenticated, "check the operator's key",
 				"give the key file of this system with --key-file", nil))
 			return
 		}
+		if !slices.Contains(methods, r.Method) {
+			refuseMethod(w, methods)
+			return
+		}
+		h(w, r)
+	})
+}
+
+func (s *Server) handlePublic(path string, h http.HandlerFunc) {
+	s.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			refuseMethod(w, []string{http.MethodGet})
+			return
+		}
 		h(w, r)
 	})
 }
 
+// keyShown compares in constant time.
+func (s *Server) keyShown(r *http.Request) bool {
+	k, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	return subtle.ConstantTimeCompare([]byte(k), s.key) == 1 && ok
+}
+
+func refuseMethod(w http.ResponseWriter, methods []string) {
+	w.Header().Set("Allow", strings.Join(methods, ", "))
+	WriteJSON(w, http.StatusMethodNotAllowed, ErrorBody{
+		Kind: balsampier.KindInvalid.String(), Message: "use " + strings.Join(methods, " or "),
+	})
+}
+
+// readJSON reads a body of at most n bytes that holds one value and no unknown
+// fields.
+func readJSON(w http.ResponseWriter, r *http.Request, n int64, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, n))
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil && d.Decode(&struct{}{}) != io.EOF {
+		err = errors.New("more than one value")
+	}
+	if err != nil {
+		return balsampier.NewError(balsampier.KindInvalid, "read body", "send the documented fields as one JSON object", err)
+	}
+	return nil
+}
+
 // WriteJSON answers with v.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
@@ -78,7 +128,7 @@
 // WriteError answers with a typed error.
 func WriteError(w http.ResponseWriter, err error, ps ...balsampier.Problem) {
 	k := balsampier.KindOf(err)
-	WriteJSON(w, status(k), ErrorBody{Kind: k.String(), Message: err.Error(), Problems: ps})
+	WriteJSON(w, status(k), ErrorBody{Kind: k.String(), Message: err.Error(), Problems: newProblems(ps)})
 }
 
 func status(k balsampier.Kind) int {
@@ -89,6 +139,8 @@
 		return http.StatusConflict
 	case balsampier.KindUnauthenticated:
 		return http.StatusUnauthorized
+	case balsampier.KindUnknown:
+		return http.StatusGatewayTimeout
 	case balsampier.KindUnavailable, balsampier.KindNotLeader, balsampier.KindFull, balsampier.KindClosed:
 		return http.StatusServiceUnavailable
 	default:
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,102 @@
+package operator
+
+import (
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/query/members"
+)
+
+type (
+	// Status is the roll-out of the accepted rule file.
+	Status struct {
+		Revision   balsampier.Revision `json:"revision"`
+		AcceptedAt time.Time           `json:"acceptedAt"`
+		Epoch      balsampier.Epoch    `json:"epoch"`
+		Leader     string              `json:"leader"`
+		Roles      []RoleStatus        `json:"roles"`
+		// Members lists those without Revision first, the lowest revision
+		// first of all; at most as many as the instance lists.
+		Members []MemberStatus `json:"members"`
+		// Omitted counts the members that Members leaves out.
+		Omitted int `json:"omitted"`
+	}
+
+	// RoleStatus counts the members of one role.
+	RoleStatus struct {
+		Role string `json:"role"`
+		// InForce counts the members that have the revision in force.
+		InForce int `json:"inForce"`
+		Total   int `json:"total"`
+	}
+
+	// MemberStatus is one member's part in the roll-out.
+	MemberStatus struct {
+		Name       string                 `json:"name"`
+		Role       string                 `json:"role"`
+		DataCentre balsampier.DataCentre  `json:"dataCentre,omitempty"`
+		Service    balsampier.ServiceName `json:"service,omitempty"`
+		Draining   bool                   `json:"draining,omitempty"`
+		// InForce is the revision that the member reported last.
+		InForce balsampier.Revision `json:"inForce"`
+		// Lagging members do not have the accepted revision in force.
+		Lagging bool `json:"lagging,omitempty"`
+		// Behind is how long a lagging member has been without it.
+		Behind Duration `json:"behind,omitzero"`
+	}
+
+	// Duration is written as in 1m30s.
+	Duration time.Duration
+)
+
+// NewStatus encodes a roll-out.
+func NewStatus(r members.Rollout, e balsampier.Epoch, leader string) Status {
+	s := Status{
+		Revision: r.Revision, AcceptedAt: r.AcceptedAt, Epoch: e, Leader: leader,
+		Omitted: r.Omitted + r.CurrentOmitted,
+	}
+	for _, k := range r.Roles {
+		s.Roles = append(s.Roles, RoleStatus{Role: k.Role.String(), InForce: k.InForce, Total: k.Total})
+	}
+	for _, a := range r.Lagging {
+		m := newMemberStatus(a.Applied)
+		m.Lagging, m.Behind = true, Duration(a.Behind)
+		s.Members = append(s.Members, m)
+	}
+	for _, a := range r.Current {
+		s.Members = append(s.Members, newMemberStatus(a))
+	}
+	return s
+}
+
+func newMemberStatus(a members.Applied) MemberStatus {
+	return MemberStatus{
+		Name: a.Member.Name, Role: a.Member.Role.String(), DataCentre: a.Member.DataCentre,
+		Service: a.Member.Service, Draining: a.Member.Draining, InForce: a.Revision,
+	}
+}
+
+// InForce reports whether every member has revision r or a later one in force.
+// The lowest revisions are listed first, so that the listed members speak for
+// the omitted ones.
+func (s Status) InForce(r balsampier.Revision) bool {
+	if s.Revision < r {
+		return false
+	}
+	for _, m := range s.Members {
+		if m.InForce < r {
+			return false
+		}
+	}
+	return true
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
--- a/process/command.go
+++ b/process/command.go
@@ -16,7 +16,11 @@
 ) *cobra.Command {
 	var path string
 	root := &cobra.Command{
-		Use: name, Short: short, SilenceUsage: true, SilenceErrors: true,
+		Use: name, Short: short, Version: Version(), SilenceUsage: true, SilenceErrors: true,
+		Long: short + `.
+
+Exit codes: 0 done, 1 failed at run time, 2 wrong input or settings, 3 ended at
+once by a second signal.`,
 		Example: fmt.Sprintf("  %s run --config %s.yaml\n  %s check-config --config %s.yaml", name, name, name, name),
 	}
 	root.PersistentFlags().StringVar(&path, "config", name+".yaml", "settings `file` in YAML")
--- /dev/null
+++ b/process/http.go
@@ -0,0 +1,32 @@
+package process
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+const (
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds how long a client may take to send a request.
+	bodyTimeout = 30 * time.Second
+	// idleTimeout bounds how long an unused connection stays.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 16 << 10
+)
+
+// NewHTTPServer returns a server on l whose clients can hold no connection
+// without sending requests.
+func NewHTTPServer(l net.Listener) *khttp.Server {
+	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0),
+		khttp.NotFoundHandler(http.NotFoundHandler()))
+	s.ReadHeaderTimeout = headerTimeout
+	s.ReadTimeout = bodyTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
+	return s
+}
--- a/process/process.go
+++ b/process/process.go
@@ -94,14 +94,22 @@
 
 // Exit ends the process with the exit code that fits err.
 func Exit(err error) {
-	if err == nil {
-		return
+	if err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		os.Exit(ExitCode(err))
 	}
-	_, _ = os.Stderr.WriteString(err.Error() + "\n")
-	if balsampier.KindOf(err) == balsampier.KindInvalid {
-		os.Exit(ExitInvalid)
+}
+
+// ExitCode returns the exit code that fits err.
+func ExitCode(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case balsampier.KindOf(err) == balsampier.KindInvalid:
+		return ExitInvalid
+	default:
+		return ExitFailure
 	}
-	os.Exit(ExitFailure)
 }
 
 func forceOnSecondSignal() {
--- a/query/members/status.go
+++ b/query/members/status.go
@@ -32,6 +32,11 @@
 		Lagging []Lagging
 		// Omitted counts the lagging members that Lagging leaves out.
 		Omitted int
+		// Current are members with Revision, by name, as far as Lagging leaves
+		// room for them.
+		Current []Applied
+		// CurrentOmitted counts the members that Current leaves out.
+		CurrentOmitted int
 	}
 
 	// RoleRollout counts the members of one role.
@@ -56,8 +61,8 @@
 func (r Rollout) Complete() bool { return len(r.Lagging)+r.Omitted == 0 }
 
 // NewRollout summarizes at time t which of the members have rule file f in
-// force, with at most n lagging ones. Control instances apply no rules and are
-// left out.
+// force; it lists at most n, the lagging ones first. Control instances apply
+// no rules and are left out.
 func NewRollout(f balsampier.RuleFile, as []Applied, n int, t time.Time) Rollout {
 	r := Rollout{Revision: f.Revision, AcceptedAt: f.AcceptedAt}
 	for _, k := range []balsampier.Role{balsampier.RoleBalancer, balsampier.RoleAgent} {
@@ -68,6 +73,7 @@
 				continue
 			case a.Revision >= f.Revision:
 				c.InForce++
+				r.Current = append(r.Current, a)
 			default:
 				r.Lagging = append(r.Lagging, Lagging{Applied: a, Behind: behind(f, t)})
 			}
@@ -83,6 +89,10 @@
 	if k := len(r.Lagging) - n; k > 0 {
 		r.Omitted, r.Lagging = k, slices.Clone(r.Lagging[:n])
 	}
+	slices.SortFunc(r.Current, func(x, y Applied) int { return cmp.Compare(x.Member.Name, y.Member.Name) })
+	if k := len(r.Current) - (n - len(r.Lagging)); k > 0 {
+		r.CurrentOmitted, r.Current = k, slices.Clone(r.Current[:len(r.Current)-k])
+	}
 	return r
 }
 
--- a/query/members/summary.go
+++ b/query/members/summary.go
@@ -3,8 +3,8 @@
 
 import "github.com/balsampier/balsampier"
 
-// maxListed bounds the members listed in a summary.
-const maxListed = 200
+// MaxListed bounds the members listed in a summary or a status.
+const MaxListed = 200
 
 type (
 	// Summary is a bounded account of a view for dumps.
@@ -12,7 +12,7 @@
 		Balancers int `json:"balancers"`
 		Agents    int `json:"agents"`
 		Draining  int `json:"draining"`
-		// Listed holds at most maxListed members.
+		// Listed holds at most MaxListed members.
 		Listed []Listed `json:"listed"`
 		// Omitted counts the members beyond Listed.
 		Omitted int `json:"omitted"`
@@ -43,7 +43,7 @@
 		if m.Draining {
 			s.Draining++
 		}
-		if len(s.Listed) == maxListed {
+		if len(s.Listed) == MaxListed {
 			s.Omitted++
 			continue
 		}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -195,7 +195,7 @@
 	metrics.GetOrCreateGauge(fmt.Sprintf("balsampier_ring_depth{ring=%q}", r.name), func() float64 {
 		return float64(r.Stats().Depth)
 	})
-	metrics.GetOrCreateGauge(fmt.Sprintf("balsampier_ring_overflows{ring=%q}", r.name), func() float64 {
+	metrics.GetOrCreateGauge(fmt.Sprintf("balsampier_ring_overflows_total{ring=%q}", r.name), func() float64 {
 		return float64(r.Stats().Overflows)
 	})
 }
