--- a/cmd/balsampier/cmd/status.go
+++ b/cmd/balsampier/cmd/status.go
@@ -131,6 +131,9 @@
 	for _, r := range s.Roles {
 		ps = append(ps, fmt.Sprintf("%d of %d %ss", r.InForce, r.Total, r.Role))
 	}
+	if s.Revision == 0 {
+		return "no rule file was accepted yet"
+	}
 	return fmt.Sprintf("revision %d is in force on %s", s.Revision, strings.Join(ps, ", "))
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -85,11 +85,17 @@
 // do asks the instances in turn until one answers for the system or c ends.
 // Every call is idempotent.
 func (l *Client) do(c context.Context, method, path string, in, out any) error {
+	var last error
 	for {
 		retry, err := l.round(c, method, path, in, out)
+		if retry && c.Err() != nil && last != nil {
+			// What the instances said tells more than that c ended.
+			return last
+		}
 		if !retry || !l.pause(c) {
 			return err
 		}
+		last = err
 	}
 }
 
