perf: size a table's pools by those of the table before

Cause: following a change at 13,000 agents and 4,700 services missed the bound of 8.5 ms (a quarter of 3.4% of a second, for at most four changes a second). Almost half of the time went to growing the slices of 4,700 pools and to looking up the pool of all agents once an agent. Change: pools start with the room of their predecessors, and the pool of all agents is at hand. The tests of query/steer and command/place pass with the race detector.

--- a/query/steer/pool.go
+++ b/query/steer/pool.go
@@ -37,6 +37,21 @@
 	service balsampier.ServiceName
 }
 
+// newPool returns an empty pool with room for a little more than the old one.
+func newPool(old *pool) *pool {
+	if old == nil {
+		return &pool{}
+	}
+	n := len(old.ids) + 1
+	return &pool{ids: make([]balsampier.InstanceID, 0, n), targets: make([]target, 0, n)}
+}
+
+// enter adds a member, in the order of IDs.
+func (p *pool) enter(m *balsampier.Member) {
+	p.ids = append(p.ids, m.ID)
+	p.targets = append(p.targets, target{holder: m.Holder(), addr: m.Addr, service: m.Service})
+}
+
 // slotOf returns the slot of a key.
 func slotOf(k balsampier.FlowKey) uint64 { return k.Lo & (slotCount - 1) }
 
--- a/query/steer/steer.go
+++ b/query/steer/steer.go
@@ -54,10 +54,14 @@
 		rules:  rules,
 		view:   v,
 		agents: make(map[balsampier.InstanceID]int32, len(v.Members)),
-		open:   make(map[balsampier.ServiceName]*pool),
+		open:   make(map[balsampier.ServiceName]*pool, t.services()),
 	}
+	all := newPool(t.pool(Any))
 	for i := range v.Members {
-		n.add(int32(i))
+		n.add(t, all, int32(i))
+	}
+	if len(all.ids) > 0 {
+		n.open[Any] = all
 	}
 	for s, p := range n.open {
 		p.fill(t.pool(s))
@@ -113,26 +117,32 @@
 	return &b
 }
 
-func (t *Table) add(i int32) {
+// add enters a member, and in any case into the pool of all agents. The pools
+// of the old table tell how much room is needed.
+func (t *Table) add(old *Table, all *pool, i int32) {
 	m := &t.view.Members[i]
 	if m.Role != balsampier.RoleAgent {
 		return
 	}
 	t.agents[m.ID] = i
-	t.enter(Any, m)
-	if !m.Draining {
-		t.enter(m.Service, m)
+	all.enter(m)
+	if m.Draining {
+		return
+	}
+	p := t.open[m.Service]
+	if p == nil {
+		p = newPool(old.pool(m.Service))
+		t.open[m.Service] = p
 	}
+	p.enter(m)
 }
 
-func (t *Table) enter(s balsampier.ServiceName, m *balsampier.Member) {
-	p := t.open[s]
-	if p == nil {
-		p = &pool{}
-		t.open[s] = p
+// services returns the number of pools.
+func (t *Table) services() int {
+	if t == nil {
+		return 0
 	}
-	p.ids = append(p.ids, m.ID)
-	p.targets = append(p.targets, target{holder: m.Holder(), addr: m.Addr, service: m.Service})
+	return len(t.open)
 }
 
 func (t *Table) pool(s balsampier.ServiceName) *pool {
