feat: run all benchmarks by make bench, with slopes for the large size

Change: package bench/measure prints, fits and remembers missed bounds. New measures: rule files (check, compile, memory), publishing, members that return together, steering tables, directories of flows, claims, stored answers, admission, the replicated log on real disks, a balancer and watch streams over the peer protocol, connections and streams at an endpoint with callers in a process of their own. Floods print the worst one of each policy and server. The last line names the measures that missed their bounds. Measured: tests of bench/... and cmd/bench/... pass with the race detector.

--- a/bench/control/bytes.go
+++ b/bench/control/bytes.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -75,3 +76,22 @@
 	churn := (restartsPerDay*2*m + failuresPerDay*m) / seconds(day) * float64(f.agents) / largest
 	b.at("steady.membersBytesPerSecond", f.agents, churn, members.DefaultBudget)
 }
+
+// returned measures what the members of a data centre or region cost when they
+// come back together, in one batch of the longest window.
+func (b *bench) returned(f fleet) {
+	tests := []struct {
+		name        string
+		dataCentres int
+	}{{"dataCentreReturned", 1}, {"regionReturned", regionDataCentres}}
+	for _, t := range tests {
+		n := 0
+		for _, m := range f.view.Members {
+			if m.Role == balsampier.RoleAgent && slices.Contains(dataCentreNames[:t.dataCentres], m.DataCentre) {
+				n += wireSizes.Member(m)
+			}
+		}
+		b.at(t.name+".balancer.bytes", f.agents, float64(n), members.DefaultBudget*7/8*seconds(rolloutBound))
+		b.at(t.name+".balancer.seconds", f.agents, budgetTime(n)+seconds(lease.MaxBatchDelay+commitDelay), seconds(rolloutBound))
+	}
+}
--- a/bench/control/cost.go
+++ b/bench/control/cost.go
@@ -4,6 +4,7 @@
 	"runtime"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/bench/measure"
 	"github.com/balsampier/balsampier/clock"
 	"github.com/balsampier/balsampier/command/apply"
 	"github.com/balsampier/balsampier/command/lease"
@@ -67,32 +68,19 @@
 
 // memory measures a view, its history and a rule file in a watcher.
 func (b *bench) memory(f fleet) {
-	before := heap()
+	before := measure.Memory()
 	v := balsampier.View{Epoch: f.view.Epoch, Members: append([]balsampier.Member(nil), f.view.Members...)}
 	n, _ := members.Apply(v, members.Delta{From: v.Epoch, To: v.Epoch + 1, Changed: f.oneChange().Joined})
 	text := []byte(f.rules.Text)
-	after := heap()
+	after := measure.Memory()
 	runtime.KeepAlive(v)
 	runtime.KeepAlive(n)
 	runtime.KeepAlive(text)
-	b.at("memory.twoViewsAndRules.bytes", f.agents, float64(after-before), memoryBound)
-}
-
-func heap() int64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
+	b.at("memory.twoViewsAndRules.bytes", f.agents, after-before, memoryBound)
 }
 
 func (b *bench) time(name string, n int, bound float64, f func()) {
-	best := day
-	for range repeats {
-		t := clock.System{}.Now()
-		f()
-		best = min(best, clock.System{}.Now().Sub(t))
-	}
-	b.at(name, n, seconds(best), bound)
+	b.at(name, n, seconds(measure.Least(clock.System{}, repeats, f)), bound)
 }
 
 func (f fleet) oneChange() apply.MembershipChange {
--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -9,12 +9,19 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/operator/rulefile"
 	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/query/check"
+	"github.com/balsampier/balsampier/query/zonetable"
 )
 
 const (
 	dataCentres = 11
+	// regionDataCentres are in the largest of the three regions.
+	regionDataCentres = 4
 	// lostDataCentre is the one that is lost.
 	lostDataCentre = "dataCentre03"
 	// The large size has one balancer for agentsPerBalancer agents and one
@@ -23,8 +30,17 @@
 	agentsPerService  = 3
 )
 
-// start is the time at which all runs begin.
-var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+var (
+	// start is the time at which all runs begin.
+	start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	// dataCentreNames are the names of all data centres.
+	dataCentreNames = func() (ns [dataCentres]balsampier.DataCentre) {
+		for i := range ns {
+			ns[i] = balsampier.DataCentre(fmt.Sprintf("dataCentre%02d", i))
+		}
+		return ns
+	}()
+)
 
 // fleet is a view with a rule file for its services.
 type fleet struct {
@@ -57,7 +73,7 @@
 	m := balsampier.Member{
 		ID: balsampier.NewInstanceID(name), Name: name, Role: k,
 		Incarnation: balsampier.Incarnation(start.Unix() - r.Int64N(100_000)),
-		DataCentre:  balsampier.DataCentre(fmt.Sprintf("dataCentre%02d", i%dataCentres)),
+		DataCentre:  dataCentreNames[i%dataCentres],
 		Addr:        address(i, 7000),
 	}
 	if k == balsampier.RoleAgent {
@@ -85,3 +101,15 @@
 
 // wireSizes are lengths in the encoding between the processes.
 var wireSizes = peer.Sizes()
+
+// NewFleet returns the view of n agents with their balancers, and the rule
+// file of their services with its zones.
+func NewFleet(n int, seed uint64) (balsampier.View, balsampier.RuleFile, error) {
+	f := newFleet(n, newRandom(seed))
+	p, _ := rulefile.Parse(f.rules.Text)
+	zs, _, err := check.Check(zonetable.BuiltIn{}, p.Rules, p.Clocks, start)
+	f.rules.Zones = zs
+	return f.view, f.rules, trace.Wrap(err)
+}
+
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
--- a/bench/flows/flows.go
+++ b/bench/flows/flows.go
@@ -24,7 +24,13 @@
 	if err := Simulate(w, seed); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(printSteering(w))
+	if err := printSteering(w); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := printTables(w); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(printDirectories(w))
 }
 
 // Simulate prints the measures that depend on the seed alone.
--- a/bench/requests/requests.go
+++ b/bench/requests/requests.go
@@ -29,7 +29,10 @@
 	// Measure is one result with its bound.
 	Measure struct {
 		// Name is in camel case, with its circumstances after slashes.
-		Name  string
+		Name string
+		// Flood is the flood behind Value; empty where Name has it or where
+		// there is none.
+		Flood string
 		Value float64
 		// Bound is the target; nil for what is only compared with.
 		Bound *float64
@@ -82,21 +85,25 @@
 
 // String returns the measure as one line.
 func (m Measure) String() string {
-	b := "none"
+	s := fmt.Sprintf("measure=%s value=%.4g", m.Name, m.Value)
 	if m.Bound != nil {
-		b = fmt.Sprintf("%.4g", *m.Bound)
+		s += fmt.Sprintf(" bound=%.4g ok=%t", *m.Bound, m.OK())
 	}
-	return fmt.Sprintf("measure=%s value=%.4g bound=%s ok=%t", m.Name, m.Value, b, m.OK())
+	if m.Flood != "" {
+		s += " worstOf=" + m.Flood
+	}
+	return s
 }
 
-// Run writes one line for each measure.
+// Run writes one line for each measure; of floods it writes the worst one of
+// each policy and server.
 func Run(w io.Writer, seed uint64) error {
-	for _, m := range append(Claims(seed, FleetSeeds), Floods(seed, floodSeeds)...) {
+	for _, m := range append(Claims(seed, FleetSeeds), compact(Floods(seed, floodSeeds))...) {
 		if _, err := fmt.Fprintln(w, m); err != nil {
 			return trace.Wrap(err, "write measure %s", m.Name)
 		}
 	}
-	return nil
+	return Costs(w)
 }
 
 // Claims runs fleets under faults with n seeds from the given one on.
--- a/bench/requests/requests_test.go
+++ b/bench/requests/requests_test.go
@@ -41,3 +41,26 @@
 		})
 	}
 }
+
+func TestCompactKeepsTheWorst(t *testing.T) {
+	a, b := 0.9, 5.0
+	tests := []struct {
+		name string
+		in   []Measure
+		want Measure
+	}{
+		{
+			"atLeast",
+			[]Measure{{Name: "flood/p/s/normal/x/share", Value: 0.99, Bound: &a}, {Name: "flood/p/s/both/x/share", Value: 0.8, Bound: &a}},
+			Measure{Name: "flood/p/s/share", Flood: "both/x", Value: 0.8, Bound: &a},
+		},
+		{
+			"atMost",
+			[]Measure{{Name: "flood/p/s/normal/x/running", Value: 6, Bound: &b, AtMost: true}, {Name: "flood/p/s/both/x/running", Value: 5, Bound: &b, AtMost: true}},
+			Measure{Name: "flood/p/s/running", Flood: "normal/x", Value: 6, Bound: &b, AtMost: true},
+		},
+	}
+	for _, tt := range tests {
+		qt.Check(t, compact(tt.in), qt.DeepEquals, []Measure{tt.want}, qt.Commentf(tt.name))
+	}
+}
--- /dev/null
+++ b/cmd/bench/connections/connections.go
@@ -0,0 +1,165 @@
+// Package connections measures what open connections, streams and requests
+// cost the process that terminates them. The callers run in a process of their
+// own.
+package connections
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/bench/measure"
+	"github.com/balsampier/balsampier/caller"
+	"github.com/balsampier/balsampier/cmd/bench/local"
+	"github.com/balsampier/balsampier/fabric"
+)
+
+const (
+	// idleTime holds one keep-alive packet of each connection.
+	idleTime = 10 * time.Second
+	// requestsPerConnection are sent by each caller, one after the other.
+	requestsPerConnection = 20
+	answerBytes           = 200
+	streamPath            = "/stream"
+)
+
+var (
+	counts = []int{100, 300, 1_000}
+	key    = []byte("a key for the connection benchmark only")
+)
+
+// Run measures the endpoint of an agent by the number of its connections.
+func Run(c context.Context, w io.Writer, k balsampier.Clock) error {
+	d, err := os.MkdirTemp("", "balsampier-bench-")
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(d) }()
+	p := certificate{cert: filepath.Join(d, "cert.pem"), key: filepath.Join(d, "key.pem")}
+	if err := p.write(k.Now()); err != nil {
+		return err
+	}
+	r := measure.New(w)
+	for _, n := range counts {
+		if err := run(c, r, k, p, n); err != nil {
+			return trace.Wrap(err, "open %d connections", n)
+		}
+	}
+	r.Slopes("Connection")
+	return r.Err()
+}
+
+func run(c context.Context, r *measure.Report, k balsampier.Clock, p certificate, n int) error {
+	before := measure.Memory()
+	a, stop, err := serve(c, k, p)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	l, err := startCallers(c, a, p.cert, n)
+	if err != nil {
+		return err
+	}
+	defer l.stop()
+	used, err := l.processor(commandOpen)
+	if err != nil {
+		return err
+	}
+	r.Sized("connections.handshakes.processorSeconds", n, used.Seconds())
+	r.Sized("connections.memory.bytes", n, measure.Memory()-before)
+	start, err := measure.Processor()
+	if err != nil {
+		return err
+	}
+	measure.Wait(k, idleTime)
+	end, err := measure.Processor()
+	if err != nil {
+		return err
+	}
+	r.Sized("connections.idle.processorShare", n, (end-start).Seconds()/idleTime.Seconds())
+	if used, err = l.processor(commandRequest); err != nil {
+		return err
+	}
+	r.Sized("connections.requests.processorSeconds", n, used.Seconds())
+	r.Figure(fmt.Sprintf("connections.requests.processorSecondsEach.%d", n), used.Seconds()/float64(n*requestsPerConnection))
+	if _, err = l.processor(commandStream); err != nil {
+		return err
+	}
+	r.Sized("connections.withStream.memory.bytes", n, measure.Memory()-before)
+	return nil
+}
+
+// serve runs an endpoint behind a socket of its own.
+func serve(c context.Context, k balsampier.Clock, p certificate) (netip.AddrPort, func(), error) {
+	c, cancel := context.WithCancel(c)
+	u, err := fabric.ListenUDP(local.Addr)
+	if err != nil {
+		cancel()
+		return netip.AddrPort{}, nil, err
+	}
+	e, a, err := newEndpoint(k, p, u.WriteToUDPAddrPort, u.LocalAddr().String())
+	if err != nil {
+		cancel()
+		return a, nil, err
+	}
+	go func() { _ = e.Serve() }()
+	go func() {
+		b := make([]byte, fabric.MaxDatagramBytes)
+		for {
+			n, from, err := u.ReadFromUDPAddrPort(b)
+			if err != nil || e.Deliver(c, append([]byte(nil), b[:n]...), from) != nil {
+				return
+			}
+		}
+	}()
+	return a, func() {
+		cancel()
+		_ = e.Close()
+		_ = u.Close()
+	}, nil
+}
+
+func newEndpoint(k balsampier.Clock, p certificate, write func([]byte, netip.AddrPort) (int, error), addr string) (*caller.Endpoint, netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, a, trace.Wrap(err)
+	}
+	codec, err := caller.NewIDCodec(key)
+	if err != nil {
+		return nil, a, err
+	}
+	t, err := caller.LoadCertificate(p.cert, p.key, k)
+	if err != nil {
+		return nil, a, err
+	}
+	e, err := caller.NewEndpoint(caller.Options{
+		ServiceAddr: a, Holder: balsampier.Holder{Instance: 1, Incarnation: 1}, Codec: codec, Key: key, TLS: t.Config(),
+		Accept:  func(netip.AddrPort) error { return nil },
+		Handler: http.HandlerFunc(answer),
+		Send: func(b []byte, to netip.AddrPort) error {
+			_, err := write(b, to)
+			return trace.Wrap(err)
+		},
+		Count: new(atomic.Uint32),
+	})
+	return e, a, err
+}
+
+// answer answers a request at once and a stream with one line only.
+func answer(w http.ResponseWriter, r *http.Request) {
+	_, _ = w.Write(make([]byte, answerBytes))
+	if r.URL.Path != streamPath {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
--- a/cmd/bench/relay/relay.go
+++ b/cmd/bench/relay/relay.go
@@ -4,24 +4,19 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/bench/measure"
 	"github.com/balsampier/balsampier/caller"
-	"github.com/balsampier/balsampier/cmd/balancer/app"
+	"github.com/balsampier/balsampier/cmd/bench/local"
 	"github.com/balsampier/balsampier/fabric"
 	"github.com/balsampier/balsampier/peer"
-	"github.com/balsampier/balsampier/random"
-	"github.com/balsampier/balsampier/settings"
 )
 
 const (
@@ -35,10 +30,7 @@
 	service      = balsampier.ServiceName("reservas")
 )
 
-var (
-	key         = []byte("a key for the relay benchmark only")
-	serviceAddr = netip.MustParseAddrPort("127.0.0.1:0")
-)
+var key = []byte("a key for the relay benchmark only")
 
 type (
 	// client delivers one view and then nothing.
@@ -49,6 +41,14 @@
 		conn  *net.UDPConn
 		count atomic.Int64
 	}
+
+	// sample sums the rounds of one relay.
+	sample struct {
+		// packets reached the sink in time.
+		packets   int64
+		time      time.Duration
+		processor time.Duration
+	}
 )
 
 // Run prints the throughput of both relays and their ratio.
@@ -75,25 +75,33 @@
 		return err
 	}
 	defer stop()
-	balancer, stop, err := startBalancer(c, k, m)
+	balancer, err := local.StartBalancer(c, k, key, client{balsampier.View{Epoch: 1, Members: []balsampier.Member{m}}})
 	if err != nil {
 		return err
 	}
-	defer stop()
-	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
-	var rateBare, rateBalancer float64
+	defer balancer.Stop()
+	var sumBare, sumBalancer sample
 	// The two take turns, so that both see the same machine.
 	for range rounds {
-		rateBare += s.measure(k, bare, packet) / rounds
-		rateBalancer += s.measure(k, balancer, packet) / rounds
+		if err := s.measure(k, bare, packet, &sumBare); err != nil {
+			return err
+		}
+		if err := s.measure(k, balancer.Addr, packet, &sumBalancer); err != nil {
+			return err
+		}
 	}
-	_, err = fmt.Fprintf(w, "measure=relayPacketsPerSecond.bare value=%.0f\nmeasure=relayPacketsPerSecond.balancer value=%.0f\nmeasure=relayThroughputRatio value=%.2f bound=%.2f ok=%t\n",
-		rateBare, rateBalancer, rateBalancer/rateBare, minRatio, rateBalancer/rateBare >= minRatio)
-	return trace.Wrap(err)
+	r := measure.New(w)
+	r.Figure("relayPacketsPerSecond.bare", sumBare.rate())
+	r.Figure("relayPacketsPerSecond.balancer", sumBalancer.rate())
+	r.AtLeast("relayThroughputRatio", sumBalancer.rate()/sumBare.rate(), minRatio)
+	// These hold the senders and the sink too.
+	r.Figure("relayProcessorSecondsPerPacket.bare", sumBare.cost())
+	r.Figure("relayProcessorSecondsPerPacket.balancer", sumBalancer.cost())
+	return r.Err()
 }
 
 func newSink() (*sink, error) {
-	u, err := fabric.ListenUDP(serviceAddr)
+	u, err := fabric.ListenUDP(local.Addr)
 	if err != nil {
 		return nil, err
 	}
@@ -110,9 +118,8 @@
 	return s, nil
 }
 
-// measure floods to with the packet and returns the packets per second that
-// reach the sink.
-func (s *sink) measure(k balsampier.Clock, to netip.AddrPort, packet []byte) float64 {
+// measure floods to with the packet and adds what reaches the sink to x.
+func (s *sink) measure(k balsampier.Clock, to netip.AddrPort, packet []byte, x *sample) error {
 	var stop atomic.Bool
 	var w sync.WaitGroup
 	for range senders {
@@ -127,23 +134,38 @@
 			}
 		})
 	}
-	wait(k, roundTime/4)
+	defer func() {
+		stop.Store(true)
+		w.Wait()
+		measure.Wait(k, roundTime/4)
+	}()
+	measure.Wait(k, roundTime/4)
 	n, t := s.count.Load(), k.Now()
-	wait(k, roundTime)
-	got, took := s.count.Load()-n, k.Now().Sub(t)
-	stop.Store(true)
-	w.Wait()
-	wait(k, roundTime/4)
-	return float64(got) / took.Seconds()
+	before, err := measure.Processor()
+	if err != nil {
+		return err
+	}
+	measure.Wait(k, roundTime)
+	after, err := measure.Processor()
+	x.packets += s.count.Load() - n
+	x.time += k.Now().Sub(t)
+	x.processor += after - before
+	return err
 }
 
+// rate returns the packets per second.
+func (x *sample) rate() float64 { return float64(x.packets) / x.time.Seconds() }
+
+// cost returns the processor time of one packet in seconds.
+func (x *sample) cost() float64 { return x.processor.Seconds() / float64(max(x.packets, 1)) }
+
 // startBare runs a relay that only reads and writes.
 func startBare(c context.Context, s *sink) (netip.AddrPort, func(), error) {
-	in, err := fabric.ListenUDP(serviceAddr)
+	in, err := fabric.ListenUDP(local.Addr)
 	if err != nil {
 		return netip.AddrPort{}, nil, err
 	}
-	out, err := fabric.ListenUDP(serviceAddr)
+	out, err := fabric.ListenUDP(local.Addr)
 	if err != nil {
 		return netip.AddrPort{}, nil, err
 	}
@@ -161,36 +183,6 @@
 	return addrOf(in), func() { _, _ = in.Close(), out.Close() }, nil
 }
 
-// startBalancer runs the threads of a balancer that knows one agent.
-func startBalancer(c context.Context, k balsampier.Clock, m balsampier.Member) (netip.AddrPort, func(), error) {
-	free, err := fabric.ListenUDP(serviceAddr)
-	if err != nil {
-		return netip.AddrPort{}, nil, err
-	}
-	a := addrOf(free)
-	if err := free.Close(); err != nil {
-		return a, nil, trace.Wrap(err)
-	}
-	s := app.Settings{
-		Common:   settings.Common{Name: "balancer", LogLevel: "error"},
-		PeerAddr: serviceAddr, Control: []netip.AddrPort{serviceAddr}, Services: []app.Service{{Addr: a, Bind: a}},
-	}
-	s.SetDefaults()
-	b, err := app.New(s, k, random.System{}, key, client{balsampier.View{Epoch: 1, Members: []balsampier.Member{m}}})
-	if err != nil {
-		return a, nil, err
-	}
-	ts := b.Threads()
-	for _, t := range ts {
-		go func() { _ = t.Start(c) }()
-	}
-	return a, func() {
-		for _, t := range ts {
-			_ = t.Stop(c)
-		}
-	}, nil
-}
-
 // Renew implements balsampier.ControlClient.
 func (l client) Renew(context.Context, balsampier.Renewal) (balsampier.Lease, error) {
 	return balsampier.Lease{Term: time.Minute, Epoch: l.v.Epoch}, nil
@@ -215,8 +207,3 @@
 func addrOf(u *net.UDPConn) netip.AddrPort {
 	return u.LocalAddr().(*net.UDPAddr).AddrPort()
 }
-
-func wait(k balsampier.Clock, d time.Duration) {
-	t := k.NewTimer(d)
-	<-t.C()
-}
--- a/command/lease/damper.go
+++ b/command/lease/damper.go
@@ -5,10 +5,10 @@
 const (
 	// batchWindow is how long changes must pause before a batch is logged.
 	batchWindow = 250 * time.Millisecond
-	// maxBatchDelay bounds the wait for a pause. It is longer than the
+	// MaxBatchDelay bounds the wait for a pause. It is longer than the
 	// interval between renewals, so that the leases of instances that were
 	// lost together run out within one batch.
-	maxBatchDelay = 2 * time.Second
+	MaxBatchDelay = 2 * time.Second
 	// urgentDelay bounds the wait of members that drain or stop.
 	urgentDelay = 100 * time.Millisecond
 
@@ -67,7 +67,7 @@
 
 // due reports whether a batch is due, and starts the next one if so.
 func (d *damper) due(t time.Time) bool {
-	waits := !d.first.IsZero() && (t.Sub(d.last) >= batchWindow || t.Sub(d.first) >= maxBatchDelay)
+	waits := !d.first.IsZero() && (t.Sub(d.last) >= batchWindow || t.Sub(d.first) >= MaxBatchDelay)
 	waits = waits || !d.urgent.IsZero() && t.Sub(d.urgent) >= urgentDelay
 	waits = waits || !d.later.IsZero() && t.After(d.later)
 	if waits {
