--- a/bench/control/control.go
+++ b/bench/control/control.go
@@ -56,6 +56,7 @@
 		b.returned(f)
 		b.costs(f)
 		b.publish(f)
+		b.instance(f)
 	}
 	b.Slopes("Agent")
 	return b.Err()
--- /dev/null
+++ b/bench/control/instance.go
@@ -0,0 +1,57 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/bench/measure"
+	"github.com/balsampier/balsampier/command/apply"
+	"github.com/balsampier/balsampier/command/lease"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/query/members"
+)
+
+// earlierFiles is how many rule files an instance keeps for deltas.
+const earlierFiles = 8
+
+// instance measures the state of a control instance that leads.
+func (b *bench) instance(f fleet) {
+	before := measure.Memory()
+	s := apply.State{
+		Rules: f.rules, View: balsampier.View{Epoch: 1, Members: slices.Clone(f.view.Members)},
+	}
+	for i := range apply.MaxAnswers {
+		s.Submit(balsampier.Submission{ID: uuid.UUID{byte(i), byte(i >> 8)}, Base: f.rules.Revision + 1})
+	}
+	t := lease.New(s.View, lease.DefaultTerm, start)
+	for _, m := range s.View.Members {
+		t.Renew(m, 1, start)
+	}
+	h := members.NewHistory(s.View)
+	s.ChangeMembers(f.oneChange())
+	h.Add(s.View)
+	files := make([]string, earlierFiles)
+	for i := range files {
+		files[i] = strings.Clone(f.rules.Text)
+	}
+	b.figure("instance.memory.bytes", f.agents, measure.Memory()-before)
+	p, err := peer.EncodeSnapshot(s.Snapshot())
+	if err != nil {
+		panic(fmt.Sprintf("encode the state of a fleet: %v", err))
+	}
+	b.figure("instance.snapshot.bytes", f.agents, float64(len(p)))
+	b.time("instance.snapshot.seconds", f.agents, seconds(rolloutBound), func() { _, _ = peer.EncodeSnapshot(s.Snapshot()) })
+	b.time("instance.restore.seconds", f.agents, seconds(rolloutBound), func() {
+		if q, err := peer.DecodeSnapshot(p); err == nil {
+			_, _ = apply.Restore(q)
+		}
+	})
+	runtime.KeepAlive(files)
+	runtime.KeepAlive(t)
+	runtime.KeepAlive(h)
+}
--- a/bench/replicas/replicas.go
+++ b/bench/replicas/replicas.go
@@ -18,8 +18,10 @@
 const (
 	// replayBound is what a restart must replay less than.
 	replayBound = 200
-	// changes go by before the restart.
-	changes = 1_000
+	// manyChanges go by before the restart that must replay few of them;
+	// fewChanges are all replayed.
+	manyChanges = 1_000
+	fewChanges  = 100
 	// runTime is how long each rate is measured.
 	runTime    = time.Second
 	smallEntry = 128
@@ -50,7 +52,7 @@
 		}
 	}
 	r.Slopes("Byte")
-	if err := restart(r, filepath.Join(d, "restart"), seed); err != nil {
+	if err := restarts(r, filepath.Join(d, "restart"), seed); err != nil {
 		return trace.Wrap(err, "measure a restart")
 	}
 	return r.Err()
@@ -102,16 +104,17 @@
 	return nil
 }
 
-// restart measures how a node comes back after changes went by.
-func restart(r *measure.Report, folder string, seed uint64) error {
+// restart returns how long a node takes to come back after changes of the
+// given length went by, and how many entries it replays.
+func restart(folder string, seed uint64, changes, size int) (time.Duration, int, error) {
 	g, err := open(folder, seed, 1)
 	if err != nil {
-		return err
+		return 0, 0, err
 	}
 	for range changes {
-		if err := g.commit(1, smallEntry); err != nil {
+		if err := g.commit(1, size); err != nil {
 			g.close()
-			return err
+			return 0, 0, err
 		}
 	}
 	g.close()
@@ -119,15 +122,33 @@
 	t := k.Now()
 	g, err = open(folder, seed, 1)
 	if err != nil {
-		return err
+		return 0, 0, err
 	}
 	defer g.close()
 	took := k.Now().Sub(t)
-	if n := g.committed(); n != changes {
-		return trace.BadParameter("%d of %d changes came back", n, changes)
+	if n := g.committed(); n != uint64(changes) {
+		return 0, 0, trace.BadParameter("%d of %d changes came back", n, changes)
 	}
-	r.AtMost("log.restart.replayedEntries", float64(g.replayed), replayBound-1)
+	return took, g.replayed, nil
+}
+
+// restarts measures a restart after many small changes, and by the length of
+// the changes.
+func restarts(r *measure.Report, folder string, seed uint64) error {
+	took, n, err := restart(filepath.Join(folder, "many"), seed, manyChanges, smallEntry)
+	if err != nil {
+		return err
+	}
+	r.AtMost("log.restart.replayedEntries", float64(n), replayBound-1)
 	r.Figure("log.restart.seconds", took.Seconds())
+	for _, z := range entrySizes {
+		took, _, err := restart(filepath.Join(folder, fmt.Sprint(z)), seed, fewChanges, z)
+		if err != nil {
+			return trace.Wrap(err, "entries of %d bytes", z)
+		}
+		r.Sized("log.restartAfter100.seconds", z, took.Seconds())
+	}
+	r.Slopes("Byte")
 	return nil
 }
 
--- a/cmd/bench/watching/streams.go
+++ b/cmd/bench/watching/streams.go
@@ -14,8 +14,11 @@
 	"github.com/balsampier/balsampier/random"
 )
 
-// streamAgents is the size of the fleet that the streams are told of.
-const streamAgents = 1_300
+const (
+	// streamAgents is the size of the fleet that the streams are told of.
+	streamAgents = 1_300
+	renewalCount = 5_000
+)
 
 var streamCounts = []int{100, 300, 1_000}
 
@@ -28,9 +31,36 @@
 		}
 	}
 	r.Slopes("Stream")
+	if err := renewals(c, r, k, seed); err != nil {
+		return trace.Wrap(err, "renew leases")
+	}
 	return r.Err()
 }
 
+// renewals measures what one renewal costs both ends.
+func renewals(c context.Context, r *measure.Report, k balsampier.Clock, seed uint64) error {
+	s, err := serve(c, k, streamAgents, seed)
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	l := peer.NewControlClient(peer.NewKey(key), []netip.AddrPort{s.addr}, random.System{})
+	defer l.Close()
+	m := agent(s.history.View(), 0)
+	before, err := measure.Processor()
+	if err != nil {
+		return err
+	}
+	for range renewalCount {
+		if _, err := l.Renew(c, balsampier.Renewal{Member: m, Applied: 1, Acknowledged: 1}); err != nil {
+			return err
+		}
+	}
+	after, err := measure.Processor()
+	r.Figure("renewal.processorSecondsEach", (after-before).Seconds()/renewalCount)
+	return err
+}
+
 func streams(c context.Context, r *measure.Report, k balsampier.Clock, n int, seed uint64) error {
 	c, cancel := context.WithCancel(c)
 	defer cancel()
