--- a/bench/requests/fleet.go
+++ b/bench/requests/fleet.go
@@ -8,10 +8,13 @@
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/answer"
+	"github.com/balsampier/balsampier/command/apply"
 	"github.com/balsampier/balsampier/command/claim"
+	"github.com/balsampier/balsampier/command/lease"
 )
 
 const (
+	fleetService   = "fleet"
 	fleetAgents    = 5
 	fleetLease     = 2 * time.Second
 	fleetRetention = 30 * time.Second
@@ -32,18 +35,15 @@
 	// Fleet is the agents of one service and control, as state machines that
 	// are joined by messages which may be late, repeated, reordered or lost.
 	Fleet struct {
-		pick    Chooser
-		now     time.Time
-		agents  []*fleetAgent
-		control *claim.Activation
-		// members are those of the newest published group.
-		members []balsampier.Holder
-		group   claim.Group
-		// epoch numbers of control at its last advance.
-		sealed, active balsampier.Epoch
-		mail           []letter
-		keys           []balsampier.RequestKey
-		issued         uint64
+		pick   Chooser
+		now    time.Time
+		agents []*fleetAgent
+		// leases and state are control, as its leader and its log have them.
+		leases *lease.Table
+		state  *apply.State
+		mail   []letter
+		keys   []balsampier.RequestKey
+		issued uint64
 		// runs counts how often the first byte of each request went out.
 		runs map[balsampier.RequestKey]int
 		// bodies holds what the backend server answered to each request.
@@ -57,7 +57,7 @@
 
 	// FleetStats counts what happened in a run.
 	FleetStats struct {
-		Epochs, Deaths, Cuts, Freezes, Runs, NotRun, Unknown, Full, Held, Stored int
+		Epochs, Leaders, Deaths, Cuts, Freezes, Runs, NotRun, Unknown, Full, Held, Stored int
 	}
 
 	// letter is one message; the zero Holder stands for control.
@@ -67,20 +67,20 @@
 	}
 
 	renewal struct {
-		acknowledged, complete balsampier.Epoch
-		at                     time.Time
+		balsampier.Renewal
+		at time.Time
 	}
 
 	renewed struct {
-		sent           time.Time
-		sealed, active balsampier.Epoch
-		group          claim.Group
+		sent  time.Time
+		lease balsampier.Lease
 	}
 )
 
 // Add sums up s and x.
 func (s *FleetStats) Add(x FleetStats) {
 	s.Epochs += x.Epochs
+	s.Leaders += x.Leaders
 	s.Deaths += x.Deaths
 	s.Cuts += x.Cuts
 	s.Freezes += x.Freezes
@@ -95,18 +95,22 @@
 // NewFleet returns a fleet of agents that have not joined yet.
 func NewFleet(p Chooser) *Fleet {
 	f := &Fleet{
-		pick: p, now: time.UnixMilli(1_800_000_000_000), control: claim.NewActivation(),
+		pick: p, now: time.UnixMilli(1_800_000_000_000), state: new(apply.State),
 		runs: make(map[balsampier.RequestKey]int), bodies: make(map[balsampier.RequestKey]string),
 		room: fleetAgents + p.IntN(2)*1000,
 	}
+	f.elect()
 	for i := range fleetAgents {
 		a := &fleetAgent{self: balsampier.Holder{Instance: balsampier.InstanceID(i + 1)}}
 		a.skew = time.Duration(p.IntN(3)-1) * fleetSkew / 2
 		f.agents = append(f.agents, a)
 		f.restart(a)
 	}
-	f.publish()
-	f.Settle(4)
+	for range 4 {
+		f.Settle(3)
+		f.pass(fleetLease / 4)
+		f.publish()
+	}
 	return f
 }
 
@@ -152,10 +156,12 @@
 	case n < 97:
 		f.cutPair()
 		f.lapse()
-	case n < 99:
+	case n < 98:
 		f.heal()
-	default:
+	case n < 99:
 		f.drop()
+	default:
+		f.elect()
 	}
 }
 
@@ -164,7 +170,7 @@
 	if len(f.keys) == 0 {
 		return
 	}
-	p := claim.Pair(f.group.Holders, f.keys[len(f.keys)-1])
+	p := claim.Pair(f.group().Holders, f.keys[len(f.keys)-1])
 	extra := f.pick.IntN(len(f.agents))
 	for i, a := range f.agents {
 		a.apart = i == extra || slices.Contains(p, a.self)
@@ -191,7 +197,7 @@
 func (f *Fleet) restart(a *fleetAgent) {
 	a.self.Incarnation++
 	a.dead, a.frozen = false, false
-	a.epochs = claim.NewEpochs(a.self)
+	a.epochs, a.adopted = claim.NewEpochs(a.self), 0
 	s := claim.Settings{Retention: fleetRetention, MaxSkew: fleetSkew, MaxClaims: f.room}
 	a.holder = claim.NewHolder(a.self, s, a.epochs)
 	a.attempts, a.runners = new(claim.Attempts), nil
@@ -202,23 +208,25 @@
 
 func (f *Fleet) pass(d time.Duration) { f.now = f.now.Add(d) }
 
-// publish removes lapsed members and adds agents that are in reach.
+// elect makes a new leader, which knows the log and no lease.
+func (f *Fleet) elect() {
+	f.leases = lease.New(f.state.View, fleetLease, f.now)
+	f.Stats.Leaders++
+}
+
+// publish logs the membership changes that are due.
 func (f *Fleet) publish() {
-	var next []balsampier.Holder
-	for _, a := range f.agents {
-		old := slices.Contains(f.members, a.self)
-		joins := !old && !a.dead && !a.apart && !a.frozen
-		if joins || (old && !f.control.Lapsed(a.self, f.now)) {
-			next = append(next, a.self)
-		}
-	}
-	if !slices.Equal(next, f.members) {
-		f.members = next
-		f.group = f.control.Publish(next, next)
-		f.Stats.Epochs++
+	c, ok := f.leases.Changes(f.now)
+	if !ok {
+		return
 	}
+	f.state.ChangeMembers(c)
+	f.leases.Committed(f.state.View)
+	f.Stats.Epochs++
 }
 
+func (f *Fleet) group() claim.Group { return f.state.Claims[fleetService].Group }
+
 func (f *Fleet) post(from, to balsampier.Holder, body any) {
 	f.mail = append(f.mail, letter{from: from, to: to, body: body})
 	if len(f.mail) > fleetMessages {
@@ -296,11 +304,19 @@
 
 func (f *Fleet) handleControl(l letter) {
 	b, ok := l.body.(renewal)
-	if !ok || !f.control.Renew(l.from, b.acknowledged, b.complete, f.now.Add(fleetLease)) {
+	if !ok {
+		return
+	}
+	g, err := f.leases.Report(lease.Report{Member: b.Member, Acknowledged: b.Acknowledged}, f.now)
+	if err != nil {
 		return
 	}
-	f.sealed, f.active = f.control.Advance(f.now)
-	f.post(balsampier.Holder{}, l.from, renewed{sent: b.at, sealed: f.sealed, active: f.active, group: f.group})
+	f.state.Complete([]apply.Completion{{Service: fleetService, Holder: l.from, Epoch: b.Complete}})
+	f.publish()
+	a := f.state.Claims[fleetService]
+	f.post(balsampier.Holder{}, l.from, renewed{sent: b.at, lease: balsampier.Lease{
+		Term: g.Term, Epoch: g.Epoch, Active: g.Active, Claims: a.State(f.state.View.Epoch),
+	}})
 }
 
 func (f *Fleet) newKey() balsampier.RequestKey {
--- a/bench/requests/fleetagent.go
+++ b/bench/requests/fleetagent.go
@@ -12,8 +12,10 @@
 
 type (
 	fleetAgent struct {
-		self     balsampier.Holder
-		epochs   *claim.Epochs
+		self   balsampier.Holder
+		epochs *claim.Epochs
+		// adopted is the view whose group the agent uses.
+		adopted  balsampier.Epoch
 		holder   *claim.Holder
 		answers  *answer.Table
 		attempts *claim.Attempts
@@ -73,8 +75,8 @@
 	case found:
 		f.found(a, b)
 	case renewed:
-		a.epochs.Publish(b.group)
-		a.epochs.Renewed(b.sent, fleetLease, b.sealed, b.active)
+		a.epochs.Told(b.sent, b.lease)
+		a.adopted = max(a.adopted, b.lease.Claims.AsOf)
 	}
 }
 
@@ -89,9 +91,12 @@
 			f.post(a.self, h, q)
 		}
 	}
-	f.post(a.self, balsampier.Holder{}, renewal{
-		acknowledged: a.epochs.Acknowledged(), complete: a.holder.Complete(), at: f.now,
-	})
+	f.post(a.self, balsampier.Holder{}, renewal{at: f.now, Renewal: balsampier.Renewal{
+		Member: balsampier.Member{
+			ID: a.self.Instance, Incarnation: a.self.Incarnation, Role: balsampier.RoleAgent, Service: fleetService,
+		},
+		Acknowledged: a.adopted, Complete: a.holder.Complete(),
+	}})
 	f.claims(a)
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -21,6 +21,12 @@
 	// HeaderRefusal tells refusals from the answers of backend servers.
 	HeaderRefusal = "Balsampier-Refusal"
 
+	// HeaderReason names the reason of a refusal.
+	HeaderReason = "Balsampier-Reason"
+
+	// HeaderStored marks an answer that an earlier send of the request got.
+	HeaderStored = "Balsampier-Stored"
+
 	headerRetryAfter = "Retry-After"
 	problemType      = "application/problem+json"
 )
@@ -31,6 +37,8 @@
 	Status  int    `json:"status"`
 	Detail  string `json:"detail"`
 	Refusal string `json:"refusal"`
+	// Reason is empty where the kind says it all.
+	Reason string `json:"reason,omitempty"`
 }
 
 // ReadRequest reads what admission needs to know of a request.
@@ -57,10 +65,14 @@
 }
 
 // WriteRefusal answers a request with a typed error. Only kinds that say so
-// promise that the request did not run.
-func WriteRefusal(w http.ResponseWriter, err error, retryAfter time.Duration) {
+// promise that the request did not run. The reason may be empty, the time
+// after which to try again zero.
+func WriteRefusal(w http.ResponseWriter, err error, reason string, retryAfter time.Duration) {
 	k := balsampier.KindOf(err)
-	p := problem{Title: "request refused", Detail: err.Error(), Status: http.StatusServiceUnavailable, Refusal: balsampier.KindNotRun.String()}
+	p := problem{
+		Title: "request refused", Detail: err.Error(), Status: http.StatusServiceUnavailable,
+		Refusal: balsampier.KindNotRun.String(), Reason: reason,
+	}
 	switch k {
 	case balsampier.KindInvalid:
 		p.Status = http.StatusBadRequest
@@ -71,7 +83,10 @@
 	h := w.Header()
 	h.Set("Content-Type", problemType)
 	h.Set(HeaderRefusal, p.Refusal)
-	if retryAfter > 0 && p.Refusal == balsampier.KindNotRun.String() {
+	if reason != "" {
+		h.Set(HeaderReason, reason)
+	}
+	if retryAfter > 0 && k != balsampier.KindInvalid {
 		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
 	w.WriteHeader(p.Status)
--- a/cmd/agent/app/admission.go
+++ b/cmd/agent/app/admission.go
@@ -14,6 +14,8 @@
 const (
 	eventOffer eventKind = iota
 	eventDone
+	eventShed
+	eventStream
 	eventCancel
 	eventSlots
 	eventLoad
@@ -28,7 +30,7 @@
 		clock  balsampier.Clock
 		events *ring.Ring[event]
 		// waiting holds the answer of every queued ticket.
-		waiting map[balsampier.Ticket]chan bool
+		waiting map[balsampier.Ticket]chan admitted
 	}
 
 	// event is one message to the thread.
@@ -37,27 +39,41 @@
 		r      balsampier.Request
 		ticket balsampier.Ticket
 		slots  int
-		// admitted takes the answer to an offer; it has room for it.
-		admitted chan bool
+		// admitted takes the answer to an offer or a stream; it has room for
+		// it.
+		admitted chan admitted
 		// issued takes the ticket of an offer before its answer.
 		issued chan balsampier.Ticket
 		load   chan balsampier.Load
 	}
+
+	// admitted is the answer to an offer.
+	admitted struct {
+		ok bool
+		// refusal is set when ok is false.
+		refusal balsampier.Refusal
+	}
+
+	// slot is what an admitted request holds. It must be left when the
+	// request is through.
+	slot struct {
+		a *admission
+		k balsampier.Ticket
+	}
 )
 
 func newAdmission(q balsampier.Admitter, k balsampier.Clock, depth int) *admission {
 	return &admission{
 		q: q, clock: k, events: ring.New[event]("admission", depth, ring.Block),
-		waiting: make(map[balsampier.Ticket]chan bool),
+		waiting: make(map[balsampier.Ticket]chan admitted),
 	}
 }
 
-// admit waits until the request may run. The returned function must be called
-// when it is through.
-func (a *admission) admit(c context.Context, r balsampier.Request) (done func(), err error) {
-	e := event{kind: eventOffer, r: r, admitted: make(chan bool, 1), issued: make(chan balsampier.Ticket, 1)}
+// admit waits until the request may run.
+func (a *admission) admit(c context.Context, r balsampier.Request) (slot, error) {
+	e := event{kind: eventOffer, r: r, admitted: make(chan admitted, 1), issued: make(chan balsampier.Ticket, 1)}
 	if err := a.events.PushWith(c, e, ring.Reject); err != nil {
-		return nil, errNotAdmitted(err)
+		return slot{}, refuse(reasonRingFull, retryAfter, errNotAdmitted(err))
 	}
 	var k balsampier.Ticket
 	select {
@@ -65,22 +81,39 @@
 	case <-c.Done():
 		// The thread still answers; give the ticket back then.
 		go func() { a.withdraw(<-e.issued, e.admitted) }()
-		return nil, errNotAdmitted(c.Err())
+		return slot{}, refuse(reasonCallerGone, 0, errNotAdmitted(c.Err()))
 	}
 	select {
-	case ok := <-e.admitted:
-		if !ok {
-			return nil, errNotAdmitted(nil)
+	case v := <-e.admitted:
+		if !v.ok {
+			return slot{}, refuse(v.refusal.Reason.String(), v.refusal.RetryAfter, errNotAdmitted(nil))
 		}
-		return func() { a.post(event{kind: eventDone, ticket: k}) }, nil
+		return slot{a: a, k: k}, nil
 	case <-c.Done():
 		a.withdraw(k, e.admitted)
-		return nil, errNotAdmitted(c.Err())
+		return slot{}, refuse(reasonCallerGone, 0, errNotAdmitted(c.Err()))
+	}
+}
+
+// leave frees the slot or ends the stream; shed says that the backend server
+// refused the request for lack of capacity.
+func (s slot) leave(shed bool) {
+	if shed {
+		s.a.post(event{kind: eventShed, ticket: s.k})
+		return
 	}
+	s.a.post(event{kind: eventDone, ticket: s.k})
+}
+
+// stream turns the request into a connection, if there is room for it.
+func (s slot) stream() bool {
+	e := event{kind: eventStream, ticket: s.k, admitted: make(chan admitted, 1)}
+	s.a.post(e)
+	return (<-e.admitted).ok
 }
 
 // withdraw cancels a ticket, or frees its slot if it was just admitted.
-func (a *admission) withdraw(k balsampier.Ticket, admitted chan bool) {
+func (a *admission) withdraw(k balsampier.Ticket, admitted chan admitted) {
 	a.post(event{kind: eventCancel, ticket: k, admitted: admitted})
 }
 
@@ -136,9 +169,13 @@
 			a.waiting[k] = e.admitted
 			return
 		}
-		e.admitted <- v == balsampier.AdmissionRun
+		e.admitted <- a.answer(k, v == balsampier.AdmissionRun)
 	case eventDone:
 		a.q.Done(e.ticket, t)
+	case eventShed:
+		a.q.Shed(e.ticket, t)
+	case eventStream:
+		e.admitted <- admitted{ok: a.q.Stream(e.ticket, t)}
 	case eventCancel:
 		a.cancel(e, t)
 	case eventSlots:
@@ -155,8 +192,8 @@
 		return
 	}
 	select {
-	case ok := <-e.admitted:
-		if ok {
+	case v := <-e.admitted:
+		if v.ok {
 			a.q.Done(e.ticket, t)
 		}
 	default:
@@ -175,11 +212,16 @@
 
 func (a *admission) reply(k balsampier.Ticket, ok bool) {
 	if c, found := a.waiting[k]; found {
-		c <- ok
+		c <- a.answer(k, ok)
 		delete(a.waiting, k)
 	}
 }
 
+func (a *admission) answer(k balsampier.Ticket, ok bool) admitted {
+	r, _ := a.q.Refusal(k)
+	return admitted{ok: ok, refusal: r}
+}
+
 func errNotAdmitted(err error) error {
 	return balsampier.NewError(balsampier.KindNotRun, "admit request", "send it again later", err)
 }
--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -62,6 +62,8 @@
 		envelopes *ring.Ring[[]byte]
 		out       *ring.Ring[outbound]
 		admission *admission
+		claims    *claims
+		callers   *callers
 		streams   atomic.Int64
 		counters  counters
 		// ids makes connection IDs unique across endpoints.
@@ -107,7 +109,15 @@
 	}
 	h := khttp.NewServer(khttp.Listener(b))
 	h.Handle(backend.PathAnnounce, backend.AnnounceHandler(a.announce))
-	servers := append(a.Threads(), operator.NewServer(o, k, a.Dump, a.Ready), h)
+	p, err := process.Listen("peerAddress", s.PeerAddr)
+	if err != nil {
+		return err
+	}
+	ps := peer.NewServer(p)
+	if err := ps.AddClaims(peer.NewKey(a.key), a.claims); err != nil {
+		return err
+	}
+	servers := append(a.Threads(), ps, operator.NewServer(o, k, a.Dump, a.Ready), h)
 	return process.Run(process.Program{
 		Name: "agent", Servers: servers, Drain: a.Drain, DrainTimeout: s.DrainTimeout, Logger: a.log,
 	})
@@ -140,16 +150,20 @@
 			Addr: s.PeerAddr, PeerAddr: s.PeerAddr,
 		},
 	}
-	a.admission = newAdmission(admit.New(0, s.QueueDepth), k, s.RingDepth)
+	a.admission = newAdmission(admit.NewQueue(s.admission()), k, s.RingDepth)
+	a.claims = newClaims(a.self.Holder(), s.claims(), s.answers(), k, s.RingDepth, func() { a.session.Nudge() })
+	a.callers = newCallers(peer.NewKey(key), a.find)
 	ring.Register(a.envelopes)
 	ring.Register(a.out)
 	ring.Register(a.admission.events)
+	ring.Register(a.claims.messages)
+	ring.Register(a.claims.calls)
 	if a.peers, err = fabric.ListenUDP(s.PeerAddr); err != nil {
 		return nil, err
 	}
 	a.session, err = control.NewSession(control.Options{
 		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: a.log, Instances: len(s.Control),
-		Member: a.Member, Changed: a.changed,
+		Member: a.Member, Changed: a.changed, Complete: a.claims.completeEpoch, Told: a.claims.told,
 	})
 	if err != nil {
 		return nil, err
@@ -166,6 +180,8 @@
 		duty.New("send envelopes", a.send),
 		duty.New("admit requests", a.admission.run),
 		duty.New("close endpoints", a.closeEndpoints),
+		duty.New("keep claims", a.claims.run),
+		duty.New("call agents", a.claims.makeCalls(a.callers)),
 	}, a.session.Threads()...)
 }
 
@@ -209,6 +225,7 @@
 		return c.Err()
 	}
 	err := a.shutdownEndpoints(c)
+	a.claims.leave()
 	a.session.Leave(c)
 	return err
 }
@@ -239,4 +256,10 @@
 	return nil
 }
 
+// find returns the address of a run of an agent.
+func (a *Agent) find(h balsampier.Holder) (netip.AddrPort, bool) {
+	m, ok := a.session.State().View.Find(h.Instance)
+	return m.PeerAddr, ok && m.Holder() == h
+}
+
 func (a *Agent) changed(s control.State) { a.table.Store(a.table.Load().Next(s.Table, s.View)) }
--- a/cmd/agent/app/dump.go
+++ b/cmd/agent/app/dump.go
@@ -79,6 +79,6 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_dropped_packets_total{reason=%q}", reason)).Inc()
 }
 
-func (counters) refuse(reason string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_refused_total{reason=%q}", reason)).Inc()
+func (counters) refuseConnection(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_refused_connections_total{reason=%q}", reason)).Inc()
 }
--- a/cmd/agent/app/endpoint.go
+++ b/cmd/agent/app/endpoint.go
@@ -60,7 +60,7 @@
 	}
 	r, ok := a.session.State().Table.InForce(s, p.Addr().Unmap(), a.clock.Now())
 	if !ok || r.Service != m.Service {
-		a.counters.refuse(balsampier.ReasonNoRule.String())
+		a.counters.refuseConnection(balsampier.ReasonNoRule.String())
 		return balsampier.NewError(balsampier.KindNotRun, "accept connection", "ask when a rule is in force", nil)
 	}
 	return nil
--- a/cmd/agent/app/serve.go
+++ b/cmd/agent/app/serve.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/backend"
 	"github.com/balsampier/balsampier/caller"
@@ -18,50 +20,55 @@
 // serve answers the requests that arrive at service address s.
 func (a *Agent) serve(s netip.AddrPort) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if err := a.run(w, r, s); err != nil {
-			a.counters.refuse(balsampier.KindOf(err).String())
-			caller.WriteRefusal(w, err, retryAfter)
+		v := a.server.Load()
+		q, err := caller.ReadRequest(r, v.Service, a.clock.Now())
+		if err != nil {
+			a.refuse(w, q, refuse(reasonInvalid, 0, err))
+			return
+		}
+		k := a.kind(r)
+		q.Class = a.class(k, q, s)
+		if err := a.run(w, r, v, k, q); err != nil {
+			a.refuse(w, q, err)
 		}
 	}
 }
 
-func (a *Agent) run(w http.ResponseWriter, r *http.Request, s netip.AddrPort) error {
-	v := a.server.Load()
-	q, err := caller.ReadRequest(r, v.Service, a.clock.Now())
-	if err != nil {
-		return err
-	}
-	if v.Draining || a.stopping.Load() {
-		return balsampier.NewError(balsampier.KindNotRun, "run request", "connect again to reach another server", nil)
-	}
-	k := a.kind(r)
-	q.Class = a.class(k, q, s)
-	if k.Stream {
-		return a.stream(w, r, v)
+func (a *Agent) run(w http.ResponseWriter, r *http.Request, v *announced, k RequestKind, q balsampier.Request) error {
+	switch once := !idempotent(r.Method); {
+	case once && q.Key != uuid.Nil:
+		// A resend may have run before: this is refused, if at all, by the one
+		// that knows.
+		return a.keyed(w, r, v, q)
+	case v.Draining || a.stopping.Load():
+		return refuse(reasonDraining, retryAfter, balsampier.NewError(balsampier.KindNotRun, "run request", "connect again to reach another server", nil))
+	default:
+		return a.plain(w, r, v, k, q)
 	}
-	done, err := a.admission.admit(r.Context(), q)
+}
+
+// plain runs a request that is idempotent, or that the caller gave no key.
+func (a *Agent) plain(w http.ResponseWriter, r *http.Request, v *announced, k RequestKind, q balsampier.Request) error {
+	s, err := a.admission.admit(r.Context(), q)
 	if err != nil {
 		return err
 	}
-	defer done()
-	t := &backend.Attempt{Gate: a.gate(r), Once: !idempotent(r.Method)}
-	return v.proxy.Forward(w, r, t)
-}
-
-// stream forwards a long answer, which takes a connection and no slot.
-func (a *Agent) stream(w http.ResponseWriter, r *http.Request, v *announced) error {
-	defer a.streams.Add(-1)
-	if a.streams.Add(1) > int64(v.Connections) {
-		return balsampier.NewError(balsampier.KindNotRun, "take stream", "connect again to reach another server", nil)
+	o := &recorder{ResponseWriter: w}
+	defer func() { s.leave(o.shed()) }()
+	if k.Stream {
+		defer a.streams.Add(-1)
+		if a.streams.Add(1) > int64(v.Connections) || !s.stream() {
+			return refuse(reasonConnections, retryAfter, balsampier.NewError(balsampier.KindNotRun, "take stream", "connect again to reach another server", nil))
+		}
 	}
-	return v.proxy.Forward(w, r, &backend.Attempt{Gate: a.gate(r), Once: !idempotent(r.Method)})
+	return v.proxy.Forward(o, r, &backend.Attempt{Gate: callerGate(r), Once: !idempotent(r.Method)})
 }
 
-// gate is asked right before the first byte goes to the backend server.
-func (a *Agent) gate(r *http.Request) func() error {
+// callerGate keeps a request from running whose caller has gone.
+func callerGate(r *http.Request) func() error {
 	return func() error {
 		if err := r.Context().Err(); err != nil {
-			return balsampier.NewError(balsampier.KindNotRun, "start request", "send it again", err)
+			return refuse(reasonCallerGone, 0, balsampier.NewError(balsampier.KindNotRun, "start request", "send it again", err))
 		}
 		return nil
 	}
--- a/cmd/agent/app/settings.go
+++ b/cmd/agent/app/settings.go
@@ -13,6 +13,7 @@
 	defaultRingDepth    = 8192
 	defaultQueueDepth   = 256
 	defaultDrainTimeout = 24 * time.Hour
+	defaultMaxBodyBytes = 1 << 20
 )
 
 type (
@@ -32,6 +33,24 @@
 		Requests []RequestKind `yaml:"requests"`
 		// QueueDepth bounds the waiting requests of each class.
 		QueueDepth int `yaml:"queueDepth"`
+		// MaxWait bounds the wait of every request; TargetWait that in an
+		// overload.
+		MaxWait    time.Duration `yaml:"maxWait"`
+		TargetWait time.Duration `yaml:"targetWait"`
+		// UrgentShare is the share of slot time of the urgent class; the rest
+		// is that of the normal class.
+		UrgentShare float64 `yaml:"urgentShare"`
+		// ClaimRetention is how long a key may be sent again; it is the same
+		// at all agents, as are MaxClockSkew and MaxClaims.
+		ClaimRetention time.Duration `yaml:"claimRetention"`
+		MaxClockSkew   time.Duration `yaml:"maxClockSkew"`
+		MaxClaims      int           `yaml:"maxClaims"`
+		// MaxAnswers and AnswerBytes bound the kept answers, MaxAnswerBytes
+		// each one, MaxBodyBytes the body of a request with a key.
+		MaxAnswers     int `yaml:"maxAnswers"`
+		AnswerBytes    int `yaml:"answerBytes"`
+		MaxAnswerBytes int `yaml:"maxAnswerBytes"`
+		MaxBodyBytes   int `yaml:"maxBodyBytes"`
 		// RingDepth is the capacity of each ring.
 		RingDepth int `yaml:"ringDepth"`
 		// DrainTimeout bounds how long a stop waits for running requests.
@@ -63,6 +82,7 @@
 	if s.DrainTimeout == 0 {
 		s.DrainTimeout = defaultDrainTimeout
 	}
+	s.setRequestDefaults()
 }
 
 // Check adds a fault for everything that is wrong.
@@ -75,6 +95,7 @@
 	f.Positive("queueDepth", s.QueueDepth)
 	f.Positive("ringDepth", s.RingDepth)
 	f.Positive("drainTimeout", int(s.DrainTimeout))
+	s.checkRequests(f)
 	if len(s.Control) == 0 {
 		f.Add("control", "", "list the peer addresses of the control instances")
 	}
--- /dev/null
+++ b/cmd/control/app/activation.go
@@ -0,0 +1,61 @@
+package app
+
+import (
+	"context"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/apply"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/ring"
+)
+
+// maxCompletions bounds one log record of completions.
+const maxCompletions = 2000
+
+// completion returns the claim epoch that the member says it completed, if
+// the committed state does not have that yet.
+func (t *Control) completion(r balsampier.Renewal) balsampier.Epoch {
+	a := t.published.Load().claims[r.Member.Service]
+	if a.Awaits(r.Member.Holder(), r.Complete) {
+		return r.Complete
+	}
+	return 0
+}
+
+// claimState returns what was committed about the claims of a service. It may
+// be older than what the leader knows, never newer than what was committed.
+func (t *Control) claimState(s balsampier.ServiceName) balsampier.ClaimState {
+	p := t.published.Load()
+	a := p.claims[s]
+	return a.State(p.view.Epoch)
+}
+
+// takeCompletions notes at the leader what a digest brought. What finds no
+// room is said again with the next renewal.
+func (t *Control) takeCompletions(cs []apply.Completion) {
+	m := &t.leases
+	m.completed = append(m.completed, cs[:min(len(cs), maxCompletions-len(m.completed))]...)
+}
+
+// proposeCompletions logs them, one batch at a time. A batch that is lost is
+// said again by its members.
+func (t *Control) proposeCompletions(c context.Context) {
+	m := &t.leases
+	if m.table == nil || m.logging || len(m.completed) == 0 {
+		return
+	}
+	cs := m.completed
+	m.completed, m.logging = nil, true
+	go func() {
+		x, cancel := context.WithTimeout(c, confirmTimeout)
+		defer cancel()
+		b, err := peer.EncodeCompletions(cs)
+		if err == nil {
+			_, err = t.propose(x, b)
+		}
+		if err != nil && c.Err() == nil {
+			t.log.Warn().Err(err).Int("holders", len(cs)).Msg("completed claims not logged; the holders say it again")
+		}
+		_ = t.commands.PushWith(c, command{logged: true}, ring.Block)
+	}()
+}
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -13,6 +13,7 @@
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/clock"
 	"github.com/balsampier/balsampier/command/apply"
+	"github.com/balsampier/balsampier/command/claim"
 	"github.com/balsampier/balsampier/command/lease"
 	"github.com/balsampier/balsampier/command/replicate"
 	"github.com/balsampier/balsampier/disk"
@@ -82,6 +83,8 @@
 		// earlier holds at most maxEarlier rule files before rules.
 		earlier []balsampier.RuleFile
 		view    balsampier.View
+		// claims belongs to view and is never changed.
+		claims map[balsampier.ServiceName]claim.Activation
 		// applied is the index of the last entry in the state.
 		applied balsampier.Index
 		// changed is closed when a newer state is published.
--- a/cmd/control/app/apply.go
+++ b/cmd/control/app/apply.go
@@ -76,15 +76,18 @@
 	if e.Kind != balsampier.EntryCommand {
 		return outcome{}, nil
 	}
-	s, m, err := peer.DecodeEntry(e.Data)
-	if err != nil {
+	s, m, cs, err := peer.DecodeEntry(e.Data)
+	switch {
+	case err != nil:
 		return outcome{}, err
-	}
-	if m != nil {
+	case m != nil:
 		t.state.s.ChangeMembers(*m)
 		return outcome{}, nil
+	case s != nil:
+		return outcome{answer: t.state.s.Submit(*s)}, nil
 	}
-	return outcome{answer: t.state.s.Submit(*s)}, nil
+	t.state.s.Complete(cs)
+	return outcome{}, nil
 }
 
 func (t *Control) restore(s balsampier.Snapshot) error {
@@ -106,7 +109,7 @@
 		return
 	}
 	n := &published{
-		rules: t.state.s.Rules, earlier: old.earlier, view: t.state.s.View, applied: t.state.applied,
+		rules: t.state.s.Rules, earlier: old.earlier, view: t.state.s.View, claims: t.state.s.Claims, applied: t.state.applied,
 		changed: make(chan struct{}),
 	}
 	if n.rules.Revision != old.rules.Revision {
--- a/cmd/control/app/handler.go
+++ b/cmd/control/app/handler.go
@@ -12,7 +12,9 @@
 // Renew implements peer.ControlHandler.
 func (t *Control) Renew(c context.Context, r balsampier.Renewal) (balsampier.Lease, error) {
 	n := &renewal{
-		report: lease.Report{Member: r.Member, Applied: r.Applied, Acknowledged: r.Acknowledged},
+		report: lease.Report{
+			Member: r.Member, Applied: r.Applied, Acknowledged: r.Acknowledged, Complete: t.completion(r),
+		},
 		answer: make(chan renewed, 1),
 	}
 	if err := t.commands.Push(c, command{renewal: n}); err != nil {
@@ -20,7 +22,9 @@
 	}
 	select {
 	case a := <-n.answer:
-		return balsampier.Lease{Term: a.grant.Term, Epoch: a.grant.Epoch, Active: a.grant.Active}, a.err
+		return balsampier.Lease{
+			Term: a.grant.Term, Epoch: a.grant.Epoch, Active: a.grant.Active, Claims: t.claimState(r.Member.Service),
+		}, a.err
 	case <-c.Done():
 		return balsampier.Lease{}, c.Err()
 	}
--- a/cmd/control/app/leases.go
+++ b/cmd/control/app/leases.go
@@ -36,6 +36,8 @@
 		leave *balsampier.Holder
 		// rollouts takes the roll-out; it has room for it.
 		rollouts chan rollouts
+		// logged tells that a batch of completions was logged or lost.
+		logged bool
 	}
 
 	renewal struct {
@@ -92,6 +94,10 @@
 		queued, confirming []*passed
 		// underWay is true while a confirmation is under way.
 		underWay bool
+		// completed waits to be logged, at most maxCompletions; logging is
+		// true while a batch is under way.
+		completed []apply.Completion
+		logging   bool
 	}
 )
 
@@ -121,6 +127,7 @@
 		}
 		t.confirm(c)
 		t.proposeChanges(c)
+		t.proposeCompletions(c)
 	}
 }
 
@@ -142,6 +149,8 @@
 		if t.leases.table != nil {
 			t.leases.table.Leave(*m.leave, t.clock.Now())
 		}
+	case m.logged:
+		t.leases.logging = false
 	case m.rollouts != nil:
 		if t.leases.table == nil {
 			m.rollouts <- rollouts{err: errNotLeader()}
@@ -281,6 +290,9 @@
 	}
 	for _, p := range ds {
 		r, err := m.table.Digest(p.digest, now)
+		if err == nil {
+			t.takeCompletions(p.digest.Completed)
+		}
 		p.answer <- received{receipt: r, err: err}
 	}
 }
--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/claim"
 )
 
 // MaxAnswers bounds how many submissions are remembered for resends.
@@ -21,6 +22,9 @@
 		// View is the membership; its epoch never falls. Its members are never
 		// changed in place, so that readers may keep a view.
 		View balsampier.View
+		// Claims has the state of every service that ever had an agent. Its
+		// elements are replaced, never changed in place.
+		Claims map[balsampier.ServiceName]claim.Activation
 		// Answers holds the newest MaxAnswers answers, oldest first.
 		Answers []balsampier.SubmissionAnswer
 
@@ -37,6 +41,13 @@
 		// stays.
 		Left []balsampier.InstanceID
 	}
+
+	// Completion says that a holder has copied the claims for a claim epoch.
+	Completion struct {
+		Service balsampier.ServiceName
+		Holder  balsampier.Holder
+		Epoch   balsampier.Epoch
+	}
 )
 
 // Answer returns the recorded answer to a submission.
@@ -73,6 +84,7 @@
 // ChangeMembers applies one batch and raises the epoch by one.
 func (s *State) ChangeMembers(c MembershipChange) {
 	s.View = balsampier.View{Epoch: s.View.Epoch + 1, Members: merge(s.View.Members, c)}
+	s.publishGroups()
 }
 
 func (s *State) remember(a balsampier.SubmissionAnswer) {
--- a/command/apply/snapshot.go
+++ b/command/apply/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/claim"
 )
 
 // Snapshot is the whole replicated state as values that share nothing with
@@ -16,6 +17,8 @@
 	Rules balsampier.RuleFile
 	// View is the membership.
 	View balsampier.View
+	// Claims has the state of every service that ever had an agent.
+	Claims map[balsampier.ServiceName]claim.Activation
 	// Answers holds at most MaxAnswers answers, oldest first, without repeats
 	// of an ID.
 	Answers []balsampier.SubmissionAnswer
@@ -23,12 +26,12 @@
 
 // Snapshot returns the state as of the last applied entry.
 func (s *State) Snapshot() Snapshot {
-	return Snapshot{Rules: s.Rules, View: s.View, Answers: slices.Clone(s.Answers)}
+	return Snapshot{Rules: s.Rules, View: s.View, Claims: s.Claims, Answers: slices.Clone(s.Answers)}
 }
 
 // Restore returns the state that a snapshot was taken of.
 func Restore(p Snapshot) (*State, error) {
-	s := &State{Rules: p.Rules, View: p.View, Answers: slices.Clone(p.Answers)}
+	s := &State{Rules: p.Rules, View: p.View, Claims: p.Claims, Answers: slices.Clone(p.Answers)}
 	s.reindex()
 	if len(s.index) != len(s.Answers) || len(s.Answers) > MaxAnswers {
 		return nil, trace.Wrap(corrupt(), "restore %d answers with %d submissions", len(s.Answers), len(s.index))
--- a/command/claim/claim.go
+++ b/command/claim/claim.go
@@ -59,20 +59,7 @@
 	}
 
 	// Group is the membership of one service in one epoch.
-	Group struct {
-		// Epoch only grows.
-		Epoch balsampier.Epoch
-		// Members are all agents of the service.
-		Members []balsampier.Holder
-		// Holders are the members that keep claims; draining members are not
-		// among them.
-		Holders []balsampier.Holder
-		// Base is the newest epoch before Epoch that was active, zero when
-		// there was none.
-		Base balsampier.Epoch
-		// BaseHolders are the holders of Base.
-		BaseHolders []balsampier.Holder
-	}
+	Group = balsampier.ClaimGroup
 
 	// Claim asks a holder to record that Runner alone may run the request.
 	Claim struct {
--- a/command/claim/epochs.go
+++ b/command/claim/epochs.go
@@ -20,6 +20,8 @@
 	sealed, active balsampier.Epoch
 	// lease is when the lease ends by the member's own clock.
 	lease time.Time
+	// left is true after Leave.
+	left bool
 }
 
 // NewEpochs returns the state of a member that knows nothing yet.
@@ -51,6 +53,30 @@
 	}
 }
 
+// Told takes the answer to a renewal sent at time s. An epoch is sealed once no
+// member has a lease that it uses below it.
+func (e *Epochs) Told(s time.Time, l balsampier.Lease) {
+	e.Publish(l.Claims.Group)
+	sealed := e.sealed
+	if l.Active >= e.group.Epoch {
+		sealed = e.group.Epoch
+	}
+	if e.left {
+		e.Advance(sealed, l.Claims.Active)
+		return
+	}
+	e.Renewed(s, l.Term, sealed, l.Claims.Active)
+}
+
+// Leave gives the lease up for good.
+func (e *Epochs) Leave() { e.lease, e.left = time.Time{}, true }
+
+// Leased reports whether the lease is valid at time t.
+func (e *Epochs) Leased(t time.Time) bool { return t.Before(e.lease) }
+
+// Active returns the newest epoch known to be active.
+func (e *Epochs) Active() balsampier.Epoch { return e.active }
+
 // Acknowledged returns the epoch to acknowledge to control.
 func (e *Epochs) Acknowledged() balsampier.Epoch { return e.group.Epoch }
 
--- a/command/claim/session_test.go
+++ b/command/claim/session_test.go
@@ -10,48 +10,78 @@
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/bench/requests"
+	"github.com/balsampier/balsampier/command/apply"
 	"github.com/balsampier/balsampier/command/claim"
+	"github.com/balsampier/balsampier/command/lease"
 )
 
+const term = 2 * time.Second
+
 // session plays the messages of a few agents in order and writes them down.
 type session struct {
 	out     bytes.Buffer
 	now     time.Time
-	control *claim.Activation
+	leases  *lease.Table
+	state   *apply.State
 	epochs  []*claim.Epochs
 	holders []*claim.Holder
 	self    []balsampier.Holder
+	// adopted is the view whose group each agent uses.
+	adopted []balsampier.Epoch
+	// news is what each agent's last renewal came to.
+	news []string
 }
 
 func newSession(n int) *session {
-	s := &session{now: time.UnixMilli(1_800_000_000_000), control: claim.NewActivation()}
+	s := &session{now: time.UnixMilli(1_800_000_000_000), state: new(apply.State)}
 	settings, _ := claim.Settings{}.Check()
+	s.leases = lease.New(s.state.View, term, s.now)
 	for i := range n {
 		h := balsampier.Holder{Instance: balsampier.InstanceID(i + 1), Incarnation: 1}
 		e := claim.NewEpochs(h)
+		s.adopted, s.news = append(s.adopted, 0), append(s.news, "")
 		s.self, s.epochs = append(s.self, h), append(s.epochs, e)
 		s.holders = append(s.holders, claim.NewHolder(h, settings, e))
 	}
 	return s
 }
 
-// publish makes the given agents the group and renews them until it is active.
+// publish renews the given agents until the group that they make is active;
+// the leases of others have run out.
 func (s *session) publish(agents ...int) {
-	var hs []balsampier.Holder
-	for _, i := range agents {
-		hs = append(hs, s.self[i])
-	}
-	g := s.control.Publish(hs, hs)
-	fmt.Fprintf(&s.out, "epoch %d of agents %v published, base %d\n", g.Epoch, agents, g.Base)
-	for range 3 {
+	for range 12 {
 		for _, i := range agents {
-			s.epochs[i].Publish(g)
-			s.copy(i)
-			s.control.Renew(s.self[i], s.epochs[i].Acknowledged(), s.holders[i].Complete(), s.now.Add(2*time.Second))
-			sealed, active := s.control.Advance(s.now)
-			s.epochs[i].Renewed(s.now, 2*time.Second, sealed, active)
-			fmt.Fprintf(&s.out, "  agent %d renews: sealed %d, active %d, complete %d\n", i, sealed, active, s.holders[i].Complete())
+			s.renew(i)
 		}
+		s.now = s.now.Add(term / 4)
+		if c, ok := s.leases.Changes(s.now); ok {
+			s.state.ChangeMembers(c)
+			s.leases.Committed(s.state.View)
+			g := s.state.Claims["session"].Group
+			fmt.Fprintf(&s.out, "epoch %d of agents %v published, base %d\n", g.Epoch, agents, g.Base)
+		}
+	}
+}
+
+func (s *session) renew(i int) {
+	h := s.self[i]
+	m := balsampier.Member{ID: h.Instance, Incarnation: h.Incarnation, Role: balsampier.RoleAgent, Service: "session"}
+	s.copy(i)
+	s.state.Complete([]apply.Completion{{Service: m.Service, Holder: h, Epoch: s.holders[i].Complete()}})
+	g, err := s.leases.Report(lease.Report{Member: m, Acknowledged: s.adopted[i]}, s.now)
+	if err != nil {
+		fmt.Fprintf(&s.out, "  agent %d is refused: %v\n", i, err)
+		return
+	}
+	a := s.state.Claims[m.Service]
+	l := balsampier.Lease{Term: g.Term, Epoch: g.Epoch, Active: g.Active, Claims: a.State(s.state.View.Epoch)}
+	s.epochs[i].Told(s.now, l)
+	s.adopted[i] = l.Claims.AsOf
+	news := fmt.Sprintf("lease %v, group %d, sealed %t, active %d, complete %d",
+		l.Term > 0, l.Claims.Group.Epoch, s.epochs[i].Sealed(), l.Claims.Active, s.holders[i].Complete())
+	if news != s.news[i] {
+		fmt.Fprintf(&s.out, "  agent %d renews: %s\n", i, news)
+		s.news[i] = news
 	}
 }
 
@@ -112,7 +142,6 @@
 			}
 		}
 		rest = next
-		s.now = s.now.Add(3 * time.Second)
 		fmt.Fprintf(&s.out, "agent %d dies\n", h.Instance-1)
 		s.publish(rest...)
 	}
--- a/command/lease/collector.go
+++ b/command/lease/collector.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/apply"
 )
 
 // maxCollected bounds the renewals that wait at one control instance.
@@ -110,6 +111,10 @@
 		Alive: make(Bitmap, (len(k.view.Members)+7)/8),
 	}
 	for _, r := range k.sent {
+		if r.Complete > 0 {
+			d.Completed = append(d.Completed, apply.Completion{Service: r.Member.Service, Holder: r.Member.Holder(), Epoch: r.Complete})
+			r.Complete = 0
+		}
 		i, ok := index(k.view, r.Member)
 		switch {
 		case !ok:
@@ -124,6 +129,9 @@
 	slices.SortFunc(d.Changed, func(x, y Report) int {
 		return cmp.Or(cmp.Compare(x.Member.ID, y.Member.ID), cmp.Compare(x.Member.Incarnation, y.Member.Incarnation))
 	})
+	slices.SortFunc(d.Completed, func(x, y apply.Completion) int {
+		return cmp.Compare(x.Holder.Instance, y.Holder.Instance)
+	})
 	return d
 }
 
--- a/command/lease/digest.go
+++ b/command/lease/digest.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/apply"
 )
 
 type (
@@ -27,6 +28,8 @@
 		Lagging []Lagging
 		// Changed are members that the view does not list like this.
 		Changed []Report
+		// Completed says which holders have copied their claims.
+		Completed []apply.Completion
 	}
 
 	// Lagging is the report of a member that is as listed in the view.
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -82,6 +82,9 @@
 		// Acknowledged is the newest view epoch that the member has taken
 		// over. It never falls within one incarnation.
 		Acknowledged balsampier.Epoch
+		// Complete is a claim epoch for which the member has copied all claims
+		// and control does not know it yet; zero when there is none.
+		Complete balsampier.Epoch
 	}
 
 	// Grant is the answer to a report.
@@ -116,9 +119,14 @@
 // New returns the table of a new leader, which grants every member of v a
 // whole new term from t: leases of earlier leaders end by then.
 func New(v balsampier.View, term time.Duration, t time.Time) *Table {
+	inherited := t.Add(term)
+	if v.Epoch == 0 {
+		// Only members of a view have leases, and there never was a view.
+		inherited = t
+	}
 	b := &Table{
 		term: term, held: make(map[balsampier.InstanceID]*lease, len(v.Members)),
-		epochs: newEpochs(v.Epoch, t.Add(term)), recent: []balsampier.View{v}, earliest: t.Add(term),
+		epochs: newEpochs(v.Epoch, inherited), recent: []balsampier.View{v}, earliest: t.Add(term),
 	}
 	for _, m := range v.Members {
 		b.held[m.ID] = &lease{member: m, expires: t.Add(term), listed: true}
--- a/control/renew.go
+++ b/control/renew.go
@@ -45,11 +45,18 @@
 
 func (s *Session) renewOnce(c context.Context, m balsampier.Member) {
 	r := balsampier.Renewal{Member: m, Applied: s.State().Rules.Revision}
+	if s.o.Complete != nil {
+		r.Complete = s.o.Complete()
+	}
 	s.mu.Lock()
 	var a lease.Attempt
-	a, r.Acknowledged = s.own.Send(s.o.Clock.Now(), s.o.Random)
+	t := s.o.Clock.Now()
+	a, r.Acknowledged = s.own.Send(t, s.o.Random)
 	s.mu.Unlock()
 	l, err := s.o.Client.Renew(c, r)
+	if err == nil && s.o.Told != nil {
+		err = s.adopt(c, t, l, r.Acknowledged)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil {
@@ -62,6 +69,33 @@
 	}
 }
 
+// adopt hands the answer to a renewal over, and renews again at once when more
+// can be acknowledged than was.
+func (s *Session) adopt(c context.Context, t time.Time, l balsampier.Lease, acknowledged balsampier.Epoch) error {
+	e, err := s.o.Told(c, t, l)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.adopted = max(s.adopted, e)
+	u := s.usable(s.State().View.Epoch)
+	s.own.Acknowledge(u)
+	s.mu.Unlock()
+	if u > acknowledged {
+		s.Nudge()
+	}
+	return nil
+}
+
+// usable returns the view epoch that may be acknowledged while e is the newest
+// view. It is called with mu held.
+func (s *Session) usable(e balsampier.Epoch) balsampier.Epoch {
+	if s.o.Told == nil {
+		return e
+	}
+	return min(e, s.adopted)
+}
+
 // Leave gives the lease up and tells control. The member must not act on its
 // lease afterwards.
 func (s *Session) Leave(c context.Context) {
--- a/control/session.go
+++ b/control/session.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,14 @@
 		Member func() (m balsampier.Member, ok bool)
 		// Changed is called with every newer state, from one thread.
 		Changed func(State)
+		// Complete returns the claim epoch to report; nil for members that
+		// keep no claims.
+		Complete func() balsampier.Epoch
+		// Told hands over the answer to a renewal sent at time t, and returns
+		// the view whose claim group has been adopted. Only that view is
+		// acknowledged, as acknowledging says that no earlier one is used. It
+		// is nil exactly when Complete is.
+		Told func(c context.Context, t time.Time, l balsampier.Lease) (balsampier.Epoch, error)
 	}
 
 	// Session runs the two threads.
@@ -54,8 +63,10 @@
 		nudge chan struct{}
 
 		mu sync.Mutex
-		// own and follower are guarded by mu.
-		own      *lease.Own
+		// own, adopted and follower are guarded by mu.
+		own *lease.Own
+		// adopted is what Told returned last.
+		adopted  balsampier.Epoch
 		follower *follow.Follower
 	}
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -122,7 +122,7 @@
 	s.state.Store(&n)
 	s.o.Changed(n)
 	s.mu.Lock()
-	s.own.Acknowledge(n.View.Epoch)
+	s.own.Acknowledge(s.usable(n.View.Epoch))
 	s.mu.Unlock()
 	s.o.Logger.Info().Uint64("revision", uint64(n.Rules.Revision)).Uint64("epoch", uint64(n.View.Epoch)).
 		Int("members", len(n.View.Members)).Msg("in force")
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -45,6 +45,16 @@
 check "200 holds by 20 callers run once each" call --keyed --method POST --callers 20 --count 10 --body hold --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
 ran_once() { [ "$(grep -c '"hold' "$run/backend.ledger")" = 200 ] && [ -z "$(grep '"hold' "$run/backend.ledger" | awk '{print $4}' | sort | uniq -d)" ]; }
 check "the backend servers' ledger agrees" ran_once
+key=$("$bin/standin" key)
+again() { call --key "$key" --method POST --body "once" https://127.0.0.1:8443/holds; }
+check "a request with a key is answered" expect "reservas POST /holds once" again
+resends() { local n; for n in 1 2 3 4 5 6; do expect "reservas POST /holds once" again || return 1; done; }
+check "six resends with the same key get the same answer" resends
+ran() { [ "$(grep -c "$1" "$run/backend.ledger")" = "$2" ]; }
+check "it ran once" ran '"once"' 1
+other_use() { { call --key "$key" --method POST --body "twice" https://127.0.0.1:8443/holds 2>&1 || true; } | grep keyOfOtherRequest; }
+check "the same key on another request is refused" other_use
+check "and that did not run" ran '"twice"' 0
 refused() { { call --timeout 3s https://127.0.0.1:8445/ 2>&1 || true; } | grep CONNECTION_REFUSED; }
 check "where no rule is in force, the connection is refused" refused
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -136,6 +136,9 @@
 		Applied Revision
 		// Acknowledged is the newest view epoch that the member uses.
 		Acknowledged Epoch
+		// Complete is the newest claim epoch for which the member has copied
+		// all claims; zero for members without claims.
+		Complete Epoch
 	}
 
 	// Lease is the answer to a renewal.
@@ -147,6 +150,8 @@
 		Epoch Epoch
 		// Active is an epoch below which no member has a lease any more.
 		Active Epoch
+		// Claims is what control tells the agents of the member's service.
+		Claims ClaimState
 	}
 
 	// BackendServer is the server beside an agent.
--- a/peer/client.go
+++ b/peer/client.go
@@ -52,6 +52,7 @@
 	}
 	a, err := peerpb.NewDRPCControlCommandClient(conn).Renew(l.key.attach(c), &peerpb.RenewRequest{
 		Member: putMember(r.Member), Applied: uint64(r.Applied), Acknowledged: uint64(r.Acknowledged),
+		Complete: uint64(r.Complete),
 	})
 	if err != nil {
 		l.drop(conn)
@@ -61,6 +62,7 @@
 		Term:   time.Duration(a.GetTermNanos()),
 		Epoch:  balsampier.Epoch(a.GetEpoch()),
 		Active: balsampier.Epoch(a.GetActive()),
+		Claims: claimState(a.GetClaims()),
 	}, nil
 }
 
--- a/peer/control.go
+++ b/peer/control.go
@@ -90,6 +90,17 @@
 	return i, err
 }
 
+// Close closes the connections without a call. Calls under way end on their
+// own.
+func (l *Caller) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.idle {
+		_ = n.Close()
+	}
+	l.idle = nil
+}
+
 // call runs f on a connection, which is kept when the call succeeds.
 func (l *Caller) call(c context.Context, f func(context.Context, drpc.Conn) error) error {
 	c, cancel := context.WithTimeout(c, callTimeout)
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -157,25 +157,29 @@
 	return b, trace.Wrap(err)
 }
 
-// DecodeEntry returns the change in a log record; exactly one result is set.
-func DecodeEntry(b []byte) (*balsampier.Submission, *apply.MembershipChange, error) {
+// DecodeEntry returns the change in a log record: exactly one of a submission,
+// a membership change and completions is set.
+func DecodeEntry(b []byte) (*balsampier.Submission, *apply.MembershipChange, []apply.Completion, error) {
 	var e peerpb.LogEntry
 	if err := proto.Unmarshal(b, &e); err != nil {
-		return nil, nil, errCorrupt("decode log entry", err)
+		return nil, nil, nil, errCorrupt("decode log entry", err)
+	}
+	if l := e.GetCompletions(); l != nil {
+		return nil, nil, completions(l.GetList()), nil
 	}
 	if s := e.GetSubmission(); s != nil {
 		id, err := submissionID(s.GetId())
 		return &balsampier.Submission{
 			ID: id, Base: balsampier.Revision(s.GetBase()), Text: s.GetText(),
 			Zones: zones(s.GetZones()), At: time.Unix(0, s.GetAtUnixNanos()).UTC(),
-		}, nil, err
+		}, nil, nil, err
 	}
 	m := e.GetMembership()
 	c := &apply.MembershipChange{Joined: memberList(m.GetJoined())}
 	for _, id := range m.GetLeft() {
 		c.Left = append(c.Left, balsampier.InstanceID(id))
 	}
-	return nil, c, nil
+	return nil, c, nil, nil
 }
 
 func submissionID(b []byte) (balsampier.SubmissionID, error) {
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -33,6 +33,7 @@
 	for _, r := range d.Changed {
 		p.Changed = append(p.Changed, putReport(r))
 	}
+	p.Completed = putCompletions(d.Completed)
 	return p
 }
 
@@ -50,6 +51,7 @@
 	for _, r := range p.GetChanged() {
 		d.Changed = append(d.Changed, report(r))
 	}
+	d.Completed = completions(p.GetCompleted())
 	return d
 }
 
--- a/peer/replica.go
+++ b/peer/replica.go
@@ -100,6 +100,7 @@
 			Id: a.ID[:], Accepted: a.Accepted, Revision: uint64(a.Revision),
 		})
 	}
+	p.Claims = putActivations(s.Claims)
 	b, err := proto.Marshal(p)
 	return b, trace.Wrap(err)
 }
@@ -110,7 +111,7 @@
 	if err := proto.Unmarshal(b, &p); err != nil {
 		return apply.Snapshot{}, errCorrupt("decode snapshot", err)
 	}
-	s := apply.Snapshot{Rules: rules(p.GetRules()), View: view(p.GetView())}
+	s := apply.Snapshot{Rules: rules(p.GetRules()), View: view(p.GetView()), Claims: activations(p.GetClaims())}
 	for _, a := range p.GetAnswers() {
 		id, err := submissionID(a.GetId())
 		if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -89,13 +89,13 @@
 	}
 	l, err := s.h.Renew(c, balsampier.Renewal{
 		Member: member(q.GetMember()), Applied: balsampier.Revision(q.GetApplied()),
-		Acknowledged: balsampier.Epoch(q.GetAcknowledged()),
+		Acknowledged: balsampier.Epoch(q.GetAcknowledged()), Complete: balsampier.Epoch(q.GetComplete()),
 	})
 	if err != nil {
 		return nil, encodeError(err)
 	}
 	return &peerpb.RenewResponse{
-		TermNanos: l.Term.Nanoseconds(), Epoch: uint64(l.Epoch), Active: uint64(l.Active),
+		TermNanos: l.Term.Nanoseconds(), Epoch: uint64(l.Epoch), Active: uint64(l.Active), Claims: putClaimState(l.Claims),
 	}, nil
 }
 
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -42,6 +42,8 @@
 		// Keyed requests carry an idempotency key and are sent again when
 		// refused as not run.
 		Keyed bool
+		// Key is the idempotency key of a request sent once; empty for none.
+		Key string
 		// Stream reads numbered lines until the stream ends.
 		Stream bool
 		// Ledger names the file that records outcomes; empty for none.
@@ -127,7 +129,7 @@
 }
 
 func (v *one) plain(c context.Context, body string) error {
-	a, err := v.do(c, body, "")
+	a, err := v.do(c, body, v.Key)
 	if err != nil {
 		return err
 	}
--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -2,12 +2,14 @@
 package cmd
 
 import (
+	"fmt"
 	"net/netip"
 	"os/signal"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
 	"github.com/balsampier/balsampier"
@@ -21,7 +23,7 @@
 // Execute runs the command line.
 func Execute() error {
 	root := &cobra.Command{Use: "standin", Short: "Play the fabric, a backend server or a caller", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(newFabric(), newBackend(), newCaller())
+	root.AddCommand(newFabric(), newBackend(), newCaller(), newKey())
 	return root.Execute()
 }
 
@@ -112,8 +114,23 @@
 	c.Flags().IntVar(&o.Count, "count", 1, "number of requests")
 	c.Flags().IntVar(&o.Callers, "callers", 1, "number of callers at once")
 	c.Flags().BoolVar(&o.Keyed, "keyed", false, "send an idempotency key and resend what is refused as not run")
+	c.Flags().StringVar(&o.Key, "key", "", "send this idempotency `key` with each request, and no resends")
 	c.Flags().BoolVar(&o.Stream, "stream", false, "read a stream until it ends and check every line")
 	c.Flags().StringVar(&o.Ledger, "ledger", "", "`file` that records what was answered")
 	c.Flags().DurationVar(&o.Timeout, "timeout", 10*time.Second, "patience for one request")
 	return c
 }
+
+func newKey() *cobra.Command {
+	return &cobra.Command{
+		Use: "key", Short: "Print a new idempotency key", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			k, err := uuid.NewV7()
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(c.OutOrStdout(), k)
+			return err
+		},
+	}
+}
