--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -64,6 +64,8 @@
 		// placement belongs to the thread that decides on envelopes.
 		placement *placement
 		health    *health
+		claims    *claims
+		callers   *callers
 		streams   atomic.Int64
 		counters  counters
 		// ids makes connection IDs unique across endpoints.
@@ -109,7 +111,15 @@
 	}
 	h := process.NewHTTPServer(b)
 	h.Handle(backend.PathAnnounce, backend.AnnounceHandler(a.announce))
-	servers := append(a.Threads(), operator.NewServer(o, k, a.Dump, a.Ready).AddLogLevel(a.log), h)
+	p, err := process.Listen("peerAddress", s.PeerAddr)
+	if err != nil {
+		return err
+	}
+	ps := peer.NewServer(p)
+	if err := ps.AddClaims(peer.NewKey(a.key), a.claims); err != nil {
+		return err
+	}
+	servers := append(a.Threads(), ps, operator.NewServer(o, k, a.Dump, a.Ready).AddLogLevel(a.log), h)
 	return process.Run(process.Program{
 		Name: "agent", Servers: servers, Drain: a.Drain, DrainTimeout: s.DrainTimeout, Logger: a.log,
 	})
@@ -142,19 +152,23 @@
 			Addr: s.PeerAddr, PeerAddr: s.PeerAddr,
 		},
 	}
-	a.admission = newAdmission(admit.New(0, s.QueueDepth), k, s.RingDepth)
 	a.placement = newPlacement(a.self.Holder(), r)
 	a.health = newHealth(a.self.ID, s.RingDepth)
 	ring.Register(a.health.events)
+	a.admission = newAdmission(admit.NewQueue(s.admission()), k, s.RingDepth)
+	a.claims = newClaims(a.self.Holder(), s.claims(), s.answers(), k, s.RingDepth, func() { a.session.Nudge() })
+	a.callers = newCallers(peer.NewKey(key), a.find)
 	ring.Register(a.envelopes)
 	ring.Register(a.out)
 	ring.Register(a.admission.events)
+	ring.Register(a.claims.messages)
+	ring.Register(a.claims.calls)
 	if a.peers, err = fabric.ListenUDP(s.PeerAddr); err != nil {
 		return nil, err
 	}
 	a.session, err = control.NewSession(control.Options{
 		Client: peer.NewControlClient(peer.NewKey(key), s.Control, r), Clock: k, Random: r, Logger: a.log, Instances: len(s.Control),
-		Member: a.Member, Changed: a.changed,
+		Member: a.Member, Changed: a.changed, Complete: a.claims.reported, Told: a.claims.told,
 	})
 	if err != nil {
 		return nil, err
@@ -175,6 +189,8 @@
 		duty.New("exchange loads", a.exchangeLoads),
 		duty.New("judge backend server", a.judge),
 		duty.New("ask backend server", a.ask),
+		duty.New("keep claims", a.claims.run),
+		duty.New("call agents", a.claims.makeCalls(a.callers)),
 	}, a.session.Threads()...)
 }
 
@@ -218,6 +234,7 @@
 		return c.Err()
 	}
 	err := a.shutdownEndpoints(c)
+	a.claims.leave()
 	a.session.Leave(c)
 	return err
 }
@@ -250,4 +267,10 @@
 	return nil
 }
 
+// find returns the address of a run of an agent.
+func (a *Agent) find(h balsampier.Holder) (netip.AddrPort, bool) {
+	m, ok := a.session.State().View.Find(h.Instance)
+	return m.PeerAddr, ok && m.Holder() == h
+}
+
 func (a *Agent) changed(s control.State) { a.table.Store(a.table.Load().Next(s.Table, s.View)) }
--- a/cmd/agent/app/dump.go
+++ b/cmd/agent/app/dump.go
@@ -36,6 +36,23 @@
 		Connections int                    `json:"connections"`
 		Ejected     bool                   `json:"ejected"`
 		Down        bool                   `json:"down"`
+		Claims      ClaimsDump             `json:"claims"`
+	}
+
+	// ClaimsDump is what the agent knows of claims.
+	ClaimsDump struct {
+		// Leased is true while the agent may run requests with a key.
+		Leased bool `json:"leased"`
+		// Group is the newest claim group, Active the one in which keys are
+		// granted, Complete the one whose claims were copied.
+		Group    balsampier.Epoch `json:"groupEpoch"`
+		Active   balsampier.Epoch `json:"activeEpoch"`
+		Complete balsampier.Epoch `json:"completeEpoch"`
+		Holders  int              `json:"holders"`
+		Claims   int              `json:"claims"`
+		Runs     int              `json:"runs"`
+		Answers  int              `json:"answers"`
+		Bytes    int              `json:"answerBytes"`
 	}
 
 	// LoadDump is the load of the backend server as the agent sees it.
@@ -65,9 +82,13 @@
 		Program: "agent", Name: a.s.Name, DataCentre: a.s.DataCentre, Incarnation: a.self.Incarnation, Service: m.Service,
 		Draining: m.Draining, Revision: s.Rules.Revision, Epoch: s.View.Epoch, Control: a.session.Status(),
 		Load: LoadDump{Running: l.Running, Queued: l.Queued, Slots: l.Slots}, Streams: a.streams.Load(),
-		Members:     members.Summarize(s.View),
-		Rings:       []ring.Stats{a.envelopes.Stats(), a.out.Stats(), a.admission.events.Stats(), a.health.events.Stats()},
+		Members: members.Summarize(s.View),
+		Rings: []ring.Stats{
+			a.envelopes.Stats(), a.out.Stats(), a.admission.events.Stats(), a.health.events.Stats(),
+			a.claims.messages.Stats(), a.claims.calls.Stats(),
+		},
 		Connections: a.connections(), Ejected: a.health.ejected.Load(), Down: a.health.down.Load(),
+		Claims: a.claims.dump(c),
 	}
 	if v := a.server.Load(); v != nil {
 		d.Backend = v.Addr.String()
@@ -92,8 +113,8 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_dropped_packets_total{reason=%q}", reason)).Inc()
 }
 
-func (counters) refuse(reason string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_refused_total{reason=%q}", reason)).Inc()
+func (counters) refuseConnection(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_agent_refused_connections_total{reason=%q}", reason)).Inc()
 }
 
 func (counters) hint(of string) {
