fix: stop at a signal that comes while the program starts

Cause: kratos listens for signals only once all servers were started, and our own listener for the second signal swallowed the first one: a SIGTERM in that gap was lost and the next one ended the process at once, without a drain.

Change: our listener stops the application at the first signal; the drain runs once whichever listener comes first.

Conclusion: the first signal drains, the second ends at once, at any time.

--- a/cmd/agent/cmd/root.go
+++ b/cmd/agent/cmd/root.go
@@ -2,12 +2,16 @@
 package cmd
 
 import (
+	"github.com/spf13/cobra"
+
 	"github.com/balsampier/balsampier/cmd/agent/app"
 	"github.com/balsampier/balsampier/process"
 )
 
 // Execute runs the command line.
-func Execute() error {
-	return process.Execute(process.NewCommand[app.Settings]("agent",
-		"Answer the callers of the backend server beside it", app.Run))
+func Execute() error { return process.Execute(newRoot()) }
+
+func newRoot() *cobra.Command {
+	return process.NewCommand[app.Settings]("agent",
+		"Answer the callers of the backend server beside it", app.Run)
 }
--- a/process/process.go
+++ b/process/process.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -61,7 +62,7 @@
 	// Sockets of the QUIC library are fed from rings, which have no kernel
 	// buffers to enlarge.
 	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true")
-	forceOnSecondSignal()
+	var once sync.Once
 	a := kratos.New(
 		kratos.Name(p.Name),
 		kratos.Logger(kratosLogger{p.Logger}),
@@ -69,20 +70,27 @@
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(stopTimeout),
 		kratos.BeforeStop(func(c context.Context) error {
-			if p.Drain == nil {
-				return nil
-			}
-			c, cancel := context.WithTimeout(c, p.DrainTimeout)
-			defer cancel()
-			if err := p.Drain(c); err != nil {
-				p.Logger.Warn().Err(err).Msg("drain ended early")
-			}
+			once.Do(func() { p.drain(c) })
 			return nil
 		}),
 	)
+	// Kratos listens for signals only once all servers were started; one that
+	// comes earlier must not get lost.
+	defer onSignals(func() { _ = a.Stop() }, func() { os.Exit(ExitForced) })()
 	return a.Run()
 }
 
+func (p *Program) drain(c context.Context) {
+	if p.Drain == nil {
+		return
+	}
+	c, cancel := context.WithTimeout(c, p.DrainTimeout)
+	defer cancel()
+	if err := p.Drain(c); err != nil {
+		p.Logger.Warn().Err(err).Msg("drain ended early")
+	}
+}
+
 // Listen binds the TCP address of the setting called key.
 func Listen(key string, a netip.AddrPort) (net.Listener, error) {
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", a.String())
@@ -112,14 +120,25 @@
 	}
 }
 
-func forceOnSecondSignal() {
-	s := make(chan os.Signal, 2)
+// onSignals calls first at the first signal and second at the second, until
+// stop is called.
+func onSignals(first, second func()) (stop func()) {
+	s, done := make(chan os.Signal, 2), make(chan struct{})
 	signal.Notify(s, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-s
-		<-s
-		os.Exit(ExitForced)
+		for _, f := range []func(){first, second} {
+			select {
+			case <-s:
+				go f()
+			case <-done:
+				return
+			}
+		}
 	}()
+	return func() {
+		signal.Stop(s)
+		close(done)
+	}
 }
 
 // Log implements the logger of kratos.
--- /dev/null
+++ b/process/processtest/processtest.go
@@ -0,0 +1,97 @@
+// Package processtest tries the command line of a daemon with wrong settings.
+package processtest
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/spf13/cobra"
+
+	"github.com/balsampier/balsampier/process"
+)
+
+const (
+	key       = "0123456789abcdef0123456789abcdef"
+	shortKey  = "0123"
+	filePerm  = 0o600
+	operating = "operatorAddress: 127.0.0.1:0"
+)
+
+// Fault is one wrong setting.
+type Fault struct {
+	Name string
+	// Old is replaced by New in the settings; an empty Old appends New.
+	Old, New string
+	// Says is a part of the message that names what is wrong and the remedy.
+	Says []string
+}
+
+// Common are settings that every daemon starts with, in the folder d.
+func Common(d string) string {
+	return "name: one\n" + operating + "\noperatorKeyFile: " + d + "/operator.key\npeerKeyFile: " + d + "/peer.key\n"
+}
+
+// Check runs the command with each fault, and with those that every daemon
+// has, and asserts exit code 2, one message that names the remedy, and that the
+// folder holds no more than before. settings returns right settings in a
+// folder.
+func Check(t *testing.T, command func() *cobra.Command, settings func(d string) string, fs []Fault) {
+	l, err := process.Listen("test", netip.MustParseAddrPort("127.0.0.1:0"))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	for _, f := range append([]Fault{
+		{"unknown setting", "", "colour: red", []string{"colour", "docs/CONFIG.md"}},
+		{"no YAML", "", "{", []string{"yaml", "correct the lines named"}},
+		{"missing name", "name: one", "", []string{"name", "set it"}},
+		{"missing key", "/operator.key", "/none.key", []string{"operatorKeyFile", "none.key", "name a readable file"}},
+		{"short key", "/peer.key", "/short.key", []string{"short.key", "use at least 16 bytes"}},
+		{"wrong level", "", "logLevel: loud", []string{"logLevel", "loud", "write debug, info, warn or error"}},
+		{
+			"port in use", operating, "operatorAddress: " + l.Addr().String(),
+			[]string{"operatorAddress", l.Addr().String(), "stop what uses the address or change it"},
+		},
+	}, fs...) {
+		t.Run(f.Name, func(t *testing.T) {
+			c := qt.New(t)
+			d := t.TempDir()
+			for _, k := range []struct{ name, text string }{
+				{"operator.key", key}, {"peer.key", key}, {"short.key", shortKey},
+			} {
+				c.Assert(os.WriteFile(filepath.Join(d, k.name), []byte(k.text), filePerm), qt.IsNil)
+			}
+			s := settings(d)
+			if f.Old == "" {
+				s += f.New + "\n"
+			} else {
+				c.Assert(s, qt.Contains, f.Old)
+				s = strings.Replace(s, f.Old, f.New, 1)
+			}
+			config := filepath.Join(d, "settings.yaml")
+			c.Assert(os.WriteFile(config, []byte(s), filePerm), qt.IsNil)
+			before, err := os.ReadDir(d)
+			c.Assert(err, qt.IsNil)
+
+			var out bytes.Buffer
+			r := command()
+			r.SetOut(&out)
+			r.SetErr(&out)
+			r.SetArgs([]string{"run", "--config", config})
+			err = process.Execute(r)
+			c.Assert(process.ExitCode(err), qt.Equals, process.ExitInvalid, qt.Commentf("%v", err))
+			for _, m := range f.Says {
+				c.Check(err.Error(), qt.Contains, m)
+			}
+			c.Assert(strings.Count(err.Error(), "(invalid)"), qt.Equals, 1)
+			c.Assert(err.Error(), qt.Not(qt.Contains), key)
+			c.Assert(out.String(), qt.Equals, "")
+			after, err := os.ReadDir(d)
+			c.Assert(err, qt.IsNil)
+			c.Assert(len(after), qt.Equals, len(before))
+		})
+	}
+}
