fix: drop what a balancer that is not ready would refuse

Cause: a balancer that has just started knows no rule, and answered the first packet of a connection with CONNECTION_REFUSED as if none was in force.

Change: until control has confirmed rules and membership, such packets are dropped and counted as notReady; the caller's next try may meet another balancer.

--- a/cmd/agent/app/dump.go
+++ b/cmd/agent/app/dump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -69,6 +70,7 @@
 	for p := range a.endpoints {
 		d.Endpoints = append(d.Endpoints, p.String())
 	}
+	slices.Sort(d.Endpoints)
 	return d
 }
 
--- a/cmd/balancer/app/steer.go
+++ b/cmd/balancer/app/steer.go
@@ -44,6 +44,11 @@
 	case balsampier.ActionForward:
 		b.forward(c, p, v, d.Payload)
 	case balsampier.ActionRefuse, balsampier.ActionReset:
+		if !b.session.Ready() {
+			// The caller's next try may meet a balancer that knows better.
+			b.counters.drop("notReady")
+			return
+		}
 		b.counters.refused(v.Reason)
 		payload := append([]byte(nil), d.Payload...)
 		_ = b.refusers[d.ServiceAddr].Deliver(c, payload, d.Caller)
--- a/process/processtest/processtest.go
+++ b/process/processtest/processtest.go
@@ -3,6 +3,9 @@
 
 import (
 	"bytes"
+	"crypto/x509"
+	"encoding/pem"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -16,7 +19,9 @@
 )
 
 const (
-	key       = "0123456789abcdef0123456789abcdef"
+	// Key is in the key files.
+	Key = "0123456789abcdef0123456789abcdef"
+
 	shortKey  = "0123"
 	filePerm  = 0o600
 	operating = "operatorAddress: 127.0.0.1:0"
@@ -36,6 +41,28 @@
 	return "name: one\n" + operating + "\noperatorKeyFile: " + d + "/operator.key\npeerKeyFile: " + d + "/peer.key\n"
 }
 
+// WriteSecrets writes operator.key, peer.key, a short.key, and the certificate
+// of the library for tests as cert.pem and key.pem into the folder d.
+func WriteSecrets(c *qt.C, d string) {
+	s := httptest.NewTLSServer(nil)
+	defer s.Close()
+	p := s.TLS.Certificates[0]
+	k, err := x509.MarshalPKCS8PrivateKey(p.PrivateKey)
+	c.Assert(err, qt.IsNil)
+	for _, f := range []struct {
+		name string
+		text []byte
+	}{
+		{"operator.key", []byte(Key)},
+		{"peer.key", []byte(Key)},
+		{"short.key", []byte(shortKey)},
+		{"cert.pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: p.Certificate[0]})},
+		{"key.pem", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: k})},
+	} {
+		c.Assert(os.WriteFile(filepath.Join(d, f.name), f.text, filePerm), qt.IsNil)
+	}
+}
+
 // Check runs the command with each fault, and with those that every daemon
 // has, and asserts exit code 2, one message that names the remedy, and that the
 // folder holds no more than before. settings returns right settings in a
@@ -59,11 +86,7 @@
 		t.Run(f.Name, func(t *testing.T) {
 			c := qt.New(t)
 			d := t.TempDir()
-			for _, k := range []struct{ name, text string }{
-				{"operator.key", key}, {"peer.key", key}, {"short.key", shortKey},
-			} {
-				c.Assert(os.WriteFile(filepath.Join(d, k.name), []byte(k.text), filePerm), qt.IsNil)
-			}
+			WriteSecrets(c, d)
 			s := settings(d)
 			if f.Old == "" {
 				s += f.New + "\n"
@@ -87,7 +110,7 @@
 				c.Check(err.Error(), qt.Contains, m)
 			}
 			c.Assert(strings.Count(err.Error(), "(invalid)"), qt.Equals, 1)
-			c.Assert(err.Error(), qt.Not(qt.Contains), key)
+			c.Assert(err.Error(), qt.Not(qt.Contains), Key)
 			c.Assert(out.String(), qt.Equals, "")
 			after, err := os.ReadDir(d)
 			c.Assert(err, qt.IsNil)
