--- a/cmd/balsampier/cmd/fake_test.go
+++ b/cmd/balsampier/cmd/fake_test.go
@@ -37,8 +37,10 @@
 		lose int
 		// lagging members keep this revision.
 		lagging map[string]balsampier.Revision
-		logger  log.Logger
-		urls    []string
+		// silent is the member that has not reported to the leader.
+		silent string
+		logger log.Logger
+		urls   []string
 	}
 
 	instance struct {
@@ -127,7 +129,11 @@
 		if x, ok := i.lagging[m.Name]; ok {
 			r = x
 		}
-		as = append(as, members.Applied{Member: m, Revision: r, Since: now})
+		a := members.Applied{Member: m, Revision: r, Since: now}
+		if m.Name == i.silent {
+			a.Revision, a.Since = 0, time.Time{}
+		}
+		as = append(as, a)
 	}
 	o := members.NewRollout(i.state.Rules, as, members.MaxListed, now.Add(12*time.Second))
 	return operator.NewStatus(o, i.state.View.Epoch, "control-2"), nil
--- a/cmd/balsampier/cmd/session_test.go
+++ b/cmd/balsampier/cmd/session_test.go
@@ -37,6 +37,8 @@
 		// lag is the member that keeps revision at.
 		lag string
 		at  balsampier.Revision
+		// silence is the member that has not reported to the leader.
+		silence string
 		// catchUp lets all members follow.
 		catchUp bool
 	}
@@ -108,6 +110,8 @@
 			{run: "submit --timeout 1s rules.txt"},
 			{run: "status"},
 			{run: "status --wait-for 1 --timeout 1s"},
+			{silence: "bench-1"},
+			{run: "status"},
 			{catchUp: true},
 			{run: "status --wait-for 1"},
 		}},
@@ -185,8 +189,12 @@
 	case p.lag != "":
 		s.f.lagging[p.lag] = p.at
 		fmt.Fprintf(&s.out, "[%s stops following]\n\n", p.lag)
+	case p.silence != "":
+		s.f.silent = p.silence
+		fmt.Fprintf(&s.out, "[another leader, %s has not reported to it]\n\n", p.silence)
 	case p.catchUp:
 		clear(s.f.lagging)
+		s.f.silent = ""
 		s.out.WriteString("[all members follow]\n\n")
 	default:
 		s.f.lose = p.lose
--- a/cmd/balsampier/cmd/status.go
+++ b/cmd/balsampier/cmd/status.go
@@ -148,7 +148,10 @@
 
 func state(m operator.MemberStatus) string {
 	s := "up to date"
-	if m.Lagging {
+	switch {
+	case m.Unreported:
+		s = "no report to this leader yet"
+	case m.Lagging:
 		s = "behind for " + time.Duration(m.Behind).Round(time.Second).String()
 	}
 	if m.Draining {
--- /dev/null
+++ b/operator/metrics_test.go
@@ -0,0 +1,49 @@
+package operator_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	metricName  = regexp.MustCompile(`["` + "`" + `](balsampier_[a-z_]+)`)
+	counterName = regexp.MustCompile(`Counter\([^"]*"(balsampier_[a-z_]+)`)
+	metricRow   = regexp.MustCompile("(?m)^\\| `(balsampier_[a-z_]+)` \\|[^|]*\\| [^|]+ \\|$")
+)
+
+// TestMetricsAreDocumented holds docs/METRICS.md to the metrics in the source
+// of all modules.
+func TestMetricsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	var used []string
+	err := filepath.WalkDir("..", func(p string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(p, ".go") || strings.HasSuffix(p, "_test.go") {
+			return err
+		}
+		b, err := os.ReadFile(p)
+		for _, m := range metricName.FindAllSubmatch(b, -1) {
+			used = append(used, string(m[1]))
+		}
+		for _, m := range counterName.FindAllSubmatch(b, -1) {
+			c.Check(string(m[1]), qt.Matches, ".*_total", qt.Commentf("%s", p))
+		}
+		return err
+	})
+	c.Assert(err, qt.IsNil)
+	page, err := os.ReadFile("../docs/METRICS.md")
+	c.Assert(err, qt.IsNil)
+	var documented []string
+	for _, m := range metricRow.FindAllSubmatch(page, -1) {
+		documented = append(documented, string(m[1]))
+	}
+	slices.Sort(used)
+	slices.Sort(documented)
+	c.Assert(documented, qt.DeepEquals, slices.Compact(used))
+}
--- a/operator/status.go
+++ b/operator/status.go
@@ -41,7 +41,10 @@
 		InForce balsampier.Revision `json:"inForce"`
 		// Lagging members do not have the accepted revision in force.
 		Lagging bool `json:"lagging,omitempty"`
-		// Behind is how long a lagging member has been without it.
+		// Unreported members have not told the present leader what they have.
+		Unreported bool `json:"unreported,omitempty"`
+		// Behind is how long a lagging member has been without the accepted
+		// revision; zero for unreported ones.
 		Behind Duration `json:"behind,omitzero"`
 	}
 
@@ -60,7 +63,10 @@
 	}
 	for _, a := range r.Lagging {
 		m := newMemberStatus(a.Applied)
-		m.Lagging, m.Behind = true, Duration(a.Behind)
+		m.Lagging, m.Unreported = true, a.Since.IsZero()
+		if !m.Unreported {
+			m.Behind = Duration(a.Behind)
+		}
 		s.Members = append(s.Members, m)
 	}
 	for _, a := range r.Current {
