fix: prefer the word of a control instance over an unreachable one

Cause: with a majority down, status named the last address that refused the connection instead of the instance that said it knows no leader (seen in a run with processes).

Change: within one round the error of an instance that answered wins.

Measured: go test -race ./cmd in cmd/balsampier passes.

--- a/operator/client.go
+++ b/operator/client.go
@@ -99,16 +99,28 @@
 	}
 }
 
-// round asks each instance at most once.
+// round asks each instance at most once. Where none answers for the system,
+// the error of one that was reached is preferred.
 func (l *Client) round(c context.Context, method, path string, in, out any) (retry bool, err error) {
 	for range l.urls {
-		retry, err = l.once(c, method, l.urls[l.next]+path, in, out)
-		if !retry || c.Err() != nil {
-			return retry, err
+		r, e := l.once(c, method, l.urls[l.next]+path, in, out)
+		if !r {
+			return false, e
+		}
+		if !isRefused(err) || isRefused(e) {
+			err = e
+		}
+		if c.Err() != nil {
+			break
 		}
 		l.next = (l.next + 1) % len(l.urls)
 	}
-	return retry, err
+	return true, err
+}
+
+func isRefused(err error) bool {
+	var r *Refused
+	return errors.As(err, &r)
 }
 
 // pause reports whether there is time for another round.
