feat: measure the session of an agent by the size of the fleet

Change: the group agent of make bench runs an agent's session and its steering table against the same stand-in for control.

--- a/cmd/bench/cmd/root.go
+++ b/cmd/bench/cmd/root.go
@@ -48,6 +48,7 @@
 	{"log", plain(replicas.Run)},
 	{"relay", func(c context.Context, w io.Writer, _ uint64) error { return relay.Run(c, w, clock.System{}) }},
 	{"balancer", timed(watching.RunBalancers)},
+	{"agent", timed(watching.RunAgents)},
 	{"streams", timed(watching.RunStreams)},
 	{"connections", func(c context.Context, w io.Writer, _ uint64) error {
 		return connections.Run(c, w, clock.System{})
--- a/cmd/bench/watching/watching.go
+++ b/cmd/bench/watching/watching.go
@@ -41,16 +41,33 @@
 // server is a stand-in for a control instance on an address of this machine.
 type server struct {
 	*handler
-	addr netip.AddrPort
-	stop func()
+	// agents is the size of the fleet.
+	agents int
+	addr   netip.AddrPort
+	stop   func()
 }
 
 // RunBalancers measures a balancer that follows fleets of several sizes, with
 // one change a second.
 func RunBalancers(c context.Context, w io.Writer, k balsampier.Clock, seed uint64) error {
+	return runAll(c, w, k, seed, "balancer", fleetSizes, startBalancer)
+}
+
+// RunAgents measures the session of an agent in the same way.
+func RunAgents(c context.Context, w io.Writer, k balsampier.Clock, seed uint64) error {
+	return runAll(c, w, k, seed, "agentSession", fleetSizes[1:], startSession)
+}
+
+func runAll(c context.Context, w io.Writer, k balsampier.Clock, seed uint64, name string, sizes []int, start starter) error {
 	r := measure.New(w)
-	for _, n := range fleetSizes {
-		if err := follow(c, r, k, n, seed); err != nil {
+	for _, n := range sizes {
+		s, err := serve(c, k, n, seed)
+		if err != nil {
+			return err
+		}
+		err = s.follow(c, r, name, start)
+		s.stop()
+		if err != nil {
 			return trace.Wrap(err, "follow %d agents", n)
 		}
 	}
@@ -58,35 +75,32 @@
 	return r.Err()
 }
 
-func follow(c context.Context, r *measure.Report, k balsampier.Clock, agents int, seed uint64) error {
-	s, err := serve(c, k, agents, seed)
-	if err != nil {
-		return err
-	}
-	defer s.stop()
+// follow measures one follower of the server.
+func (s *server) follow(c context.Context, r *measure.Report, name string, start starter) error {
+	k := s.clock
 	before := measure.Memory()
 	l := peer.NewControlClient(peer.NewKey(key), []netip.AddrPort{s.addr}, random.System{})
 	defer l.Close()
-	start, err := measure.Processor()
+	began, err := measure.Processor()
 	if err != nil {
 		return err
 	}
-	b, err := local.StartBalancer(c, k, key, l)
+	f, err := start(c, s, l)
 	if err != nil {
 		return err
 	}
-	defer b.Stop()
-	if err := waitReady(k, func() bool { return b.Ready() == nil }); err != nil {
+	defer f.stop()
+	if err := waitReady(k, f.ready); err != nil {
 		return err
 	}
-	// The first tables are made after the balancer is ready.
+	// The first tables are made after the follower is ready.
 	measure.Wait(k, settleTime)
 	ready, err := measure.Processor()
 	if err != nil {
 		return err
 	}
-	r.Sized("balancer.start.processorSeconds", agents, (ready - start).Seconds())
-	r.SizedAtMost("balancer.memory.bytes", agents, measure.Memory()-before, memoryBound)
+	r.Sized(name+".start.processorSeconds", s.agents, (ready - began).Seconds())
+	r.SizedAtMost(name+".memory.bytes", s.agents, measure.Memory()-before, memoryBound)
 	idle, err := processorIn(k, nil)
 	if err != nil {
 		return err
@@ -95,8 +109,8 @@
 	if err != nil {
 		return err
 	}
-	r.SizedAtMost("balancer.idle.processorShare", agents, idle, processorBound)
-	r.SizedAtMost("balancer.oneChangeASecond.processorShare", agents, busy, processorBound)
+	r.SizedAtMost(name+".idle.processorShare", s.agents, idle, processorBound)
+	r.SizedAtMost(name+".oneChangeASecond.processorShare", s.agents, busy, processorBound)
 	return nil
 }
 
@@ -119,7 +133,7 @@
 		return nil, err
 	}
 	go func() { _ = p.Start(c) }()
-	return &server{handler: h, addr: a, stop: func() { _ = p.Stop(c) }}, nil
+	return &server{handler: h, agents: agents, addr: a, stop: func() { _ = p.Stop(c) }}, nil
 }
 
 // processorIn returns the share of a core that the process uses while change
