fix: bound the idle connections between control instances

Cause: a caller kept every connection of every call for ever, tried connections that the other end had closed, and the server kept silent strangers. Change: at most 4 idle connections; closed ones are passed over; a failed call gives up the rest; a connection without a call ends after a minute. Before, on a scratch copy: TestCallerConnections, more_than_are_kept: 20 idle connections after 20 calls at once. After: 4; go test -race ./peer passes.

--- a/peer/control.go
+++ b/peer/control.go
@@ -16,6 +16,9 @@
 	"github.com/balsampier/balsampier/peer/peerpb"
 )
 
+// maxIdleConns bounds the connections that a Caller keeps open for later calls.
+const maxIdleConns = 4
+
 type (
 	// ReplicaHandler answers the calls that control instances make.
 	ReplicaHandler interface {
@@ -35,7 +38,7 @@
 		addr netip.AddrPort
 
 		mu sync.Mutex
-		// idle holds connections without a call.
+		// idle holds at most maxIdleConns connections without a call.
 		idle []drpc.Conn
 	}
 
@@ -90,7 +93,8 @@
 	return i, err
 }
 
-// call runs f on a connection, which is kept when the call succeeds.
+// call runs f on a connection, which is kept when the call succeeds. A failed
+// call gives up the idle connections too: they lead to the same process.
 func (l *Caller) call(c context.Context, f func(context.Context, drpc.Conn) error) error {
 	c, cancel := context.WithTimeout(c, callTimeout)
 	defer cancel()
@@ -100,23 +104,37 @@
 	}
 	if err := f(l.key.attach(c), n); err != nil {
 		_ = n.Close()
+		l.closeIdle()
 		return decodeError("call "+l.addr.String(), err)
 	}
+	l.keep(n)
+	return nil
+}
+
+func (l *Caller) keep(n drpc.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.idle = append(l.idle, n)
-	return nil
+	if len(l.idle) < maxIdleConns {
+		l.idle = append(l.idle, n)
+		return
+	}
+	_ = n.Close()
 }
 
-func (l *Caller) take(c context.Context) (drpc.Conn, error) {
+func (l *Caller) closeIdle() {
 	l.mu.Lock()
-	if k := len(l.idle); k > 0 {
-		n := l.idle[k-1]
-		l.idle = l.idle[:k-1]
-		l.mu.Unlock()
+	ns := l.idle
+	l.idle = nil
+	l.mu.Unlock()
+	for _, n := range ns {
+		_ = n.Close()
+	}
+}
+
+func (l *Caller) take(c context.Context) (drpc.Conn, error) {
+	if n := l.open(); n != nil {
 		return n, nil
 	}
-	l.mu.Unlock()
 	d := net.Dialer{Timeout: dialTimeout}
 	n, err := d.DialContext(c, "tcp", l.addr.String())
 	if err != nil {
@@ -125,6 +143,22 @@
 	return drpcconn.New(n), nil
 }
 
+// open returns an idle connection that the other end did not close, or nil.
+func (l *Caller) open() drpc.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := len(l.idle); k > 0; k = len(l.idle) {
+		n := l.idle[k-1]
+		l.idle = l.idle[:k-1]
+		select {
+		case <-n.Closed():
+		default:
+			return n
+		}
+	}
+	return nil
+}
+
 // AddReplica adds the services between control instances.
 func (s *Server) AddReplica(k Key, h ReplicaHandler) error {
 	v := &replicaServer{key: k, h: h}
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/gravitational/trace"
 	"storj.io/drpc/drpcmanager"
@@ -14,8 +15,12 @@
 	"github.com/balsampier/balsampier/peer/peerpb"
 )
 
-// maxMessageBytes bounds one message of a peer.
-const maxMessageBytes = 16 << 20
+const (
+	// maxMessageBytes bounds one message of a peer.
+	maxMessageBytes = 16 << 20
+	// idleTimeout is how long a connection may stay without a call.
+	idleTimeout = time.Minute
+)
 
 type (
 	// ControlHandler answers the calls that members make.
@@ -68,7 +73,9 @@
 		case <-c.Done():
 		}
 	}()
-	o := drpcserver.Options{Manager: drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}}
+	o := drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}, InactivityTimeout: idleTimeout,
+	}}
 	err := drpcserver.NewWithOptions(s.mux, o).Serve(c, s.l)
 	if c.Err() != nil {
 		return nil
