fix: answer lost proposals and keep one waiting renewal a member

Cause: a proposal at the index of one that a later leader had cut off replaced its waiter, which then waited for ever; a membership change decided in one term could be proposed in a later term of the same instance; without a leader each repeated renewal stayed in memory until the next leader. Change: the replaced waiter is told; a change is proposed in its own term only; of a member's renewals the newest waits. After: go test -race ./app in cmd/control passes, with new tests of three instances over loopback: a submission is watched everywhere, resends get their first answer from the next leader, a cut-off instance confirms nothing.

--- /dev/null
+++ b/cmd/control/app/control_test.go
@@ -0,0 +1,162 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/random"
+	"github.com/balsampier/balsampier/ring"
+)
+
+var errSeen = errors.New("seen")
+
+// seen watches n until it confirms revision r.
+func (f *fleet) seen(n *instance, r balsampier.Revision) {
+	f.c.Helper()
+	x, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err := n.watch(x, balsampier.WatchPosition{}, func(m balsampier.WatchMessage) error {
+		if m.Confirmed && m.Revision == r {
+			return errSeen
+		}
+		return nil
+	})
+	f.c.Assert(errors.Is(err, errSeen), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestSubmissionIsWatchedEverywhere(t *testing.T) {
+	f := newFleet(qt.New(t))
+	a := f.submit(submission(0))
+	f.c.Assert(a.Accepted, qt.IsTrue)
+	for _, n := range f.instances {
+		f.seen(n, a.Revision)
+	}
+}
+
+func TestResendAfterLeaderStops(t *testing.T) {
+	f := newFleet(qt.New(t))
+	won, lost := submission(0), submission(0)
+	first, second := f.submit(won), f.submit(lost)
+	f.c.Assert(first.Accepted, qt.IsTrue)
+	f.c.Assert(second.Accepted, qt.IsFalse)
+	old := f.leader()
+	old.kill()
+	later := f.submit(submission(first.Revision), old)
+	f.c.Assert(later.Accepted, qt.IsTrue)
+	f.c.Assert(f.submit(won, old), qt.Equals, first)
+	f.c.Assert(f.submit(lost, old), qt.Equals, second)
+}
+
+func TestCutOffInstance(t *testing.T) {
+	f := newFleet(qt.New(t))
+	a := f.submit(submission(0))
+	old := f.leader()
+	f.seen(old, a.Revision)
+	old.cut.Store(true)
+	// What was confirmed before the cut is passed on for a while, to streams
+	// that began before it only.
+	var confirmed, heard bool
+	newest := make(chan balsampier.Revision, 1)
+	x, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { newest <- f.submit(submission(a.Revision), old).Revision; cancel() }()
+	err := old.watch(x, balsampier.WatchPosition{}, func(m balsampier.WatchMessage) error {
+		heard = true
+		confirmed = confirmed || m.Confirmed
+		return nil
+	})
+	f.c.Assert(err, qt.IsNotNil)
+	r := <-newest
+	f.c.Assert(heard, qt.IsTrue)
+	f.c.Assert(confirmed, qt.IsFalse)
+	f.eventually("the cut-off leader steps down", func() bool { return old.status.Load().Role != replicate.RoleLeader })
+	_, err = old.Rules(x)
+	f.c.Assert(err, qt.IsNotNil)
+	old.cut.Store(false)
+	f.seen(old, r)
+}
+
+// A submission that a cut-off leader took is either lost or has one answer.
+func TestSubmissionAtCutOffLeader(t *testing.T) {
+	f := newFleet(qt.New(t))
+	old := f.leader()
+	old.cut.Store(true)
+	stranded := submission(0)
+	fate := make(chan error, 1)
+	go func() {
+		_, _, err := old.Submit(context.Background(), stranded)
+		fate <- err
+	}()
+	won := f.submit(submission(0), old)
+	f.c.Assert(won.Accepted, qt.IsTrue)
+	old.cut.Store(false)
+	f.c.Assert(<-fate, qt.IsNotNil)
+	f.c.Assert(f.submit(stranded), qt.Equals, balsampier.SubmissionAnswer{ID: stranded.ID, Revision: won.Revision})
+}
+
+func newReplicaThread(c *qt.C) *Control {
+	n, err := replicate.New(replicate.Config{
+		Instance: 1, Peers: []balsampier.InstanceID{1}, Random: random.System{},
+	}, balsampier.StoredLog{Disk: 1}, time.Unix(0, 0))
+	c.Assert(err, qt.IsNil)
+	t := &Control{inputs: ring.New[input]("inputs", 1, ring.Reject), replica: newReplica(n)}
+	for i := range 100 {
+		n.Tick(time.Unix(int64(i), 0))
+		if w := n.Take().Work; w != nil {
+			n.DiskDone(w.Seq)
+		}
+	}
+	c.Assert(n.Status().Role, qt.Equals, replicate.RoleLeader)
+	return t
+}
+
+func TestProposals(t *testing.T) {
+	tests := []struct {
+		name  string
+		term  balsampier.Term
+		older bool
+		// refused is the fate of the proposal, superseded that of one that
+		// waited for the same index.
+		refused, superseded balsampier.Kind
+	}{
+		{name: "any term"},
+		{name: "the same term", term: 1},
+		{name: "decided in another term", term: 9, refused: balsampier.KindNotLeader},
+		{name: "the index of an earlier reign", older: true, superseded: balsampier.KindNotLeader},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := newReplicaThread(c)
+			s := k.replica.n.Status()
+			old := make(chan outcome, 1)
+			if x.older {
+				k.replica.proposals[s.Last+1] = proposal{term: s.Term - 1, outcome: old}
+			}
+			term := x.term
+			if term == 1 {
+				term = s.Term
+			}
+			i := input{kind: inputProposal, term: term, data: []byte("x"), outcome: make(chan outcome, 1)}
+			k.take(i)
+			c.Assert(fateOf(i.outcome), qt.Equals, x.refused)
+			c.Assert(fateOf(old), qt.Equals, x.superseded)
+		})
+	}
+}
+
+// fateOf returns the kind of the error that was answered, or zero.
+func fateOf(c chan outcome) balsampier.Kind {
+	select {
+	case o := <-c:
+		return balsampier.KindOf(o.err)
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/cmd/control/app/fleet_test.go
@@ -0,0 +1,229 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/google/uuid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/random"
+)
+
+const (
+	fleetSize = 3
+	// patience bounds every wait; no verdict depends on how long one takes.
+	patience = 30 * time.Second
+	pollWait = 20 * time.Millisecond
+)
+
+var testKey = peer.NewKey([]byte("test"))
+
+type (
+	// fleet is a set of control instances that talk over loopback.
+	fleet struct {
+		c *qt.C
+		// instances are indexed as in the settings.
+		instances [fleetSize]*instance
+	}
+
+	// instance is one run of a control instance.
+	instance struct {
+		*Control
+		// addr takes calls even while the links are cut.
+		addr    netip.AddrPort
+		cut     *atomic.Bool
+		cancel  context.CancelFunc
+		stopped sync.WaitGroup
+	}
+)
+
+// newFleet starts control instances. All traffic between them passes links, of
+// which those from and to an instance can be cut.
+func newFleet(c *qt.C) *fleet {
+	f := &fleet{c: c}
+	var ls [fleetSize]net.Listener
+	var cuts [fleetSize]atomic.Bool
+	for i := range ls {
+		ls[i] = listen(c)
+	}
+	for i := range f.instances {
+		var s Settings
+		s.Name, s.DataFolder, s.LogLevel = nameOf(i), c.TempDir(), "error"
+		for j, l := range ls {
+			a := addrOf(l)
+			if i != j {
+				a = link(c, a, &cuts[i], &cuts[j])
+			}
+			s.Instances = append(s.Instances, Instance{Name: nameOf(j), PeerAddr: a})
+		}
+		s.SetDefaults()
+		f.instances[i] = startInstance(c, s, ls[i], &cuts[i])
+	}
+	return f
+}
+
+func nameOf(i int) string { return "control-" + strconv.Itoa(i+1) }
+
+func listen(c *qt.C) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	return l
+}
+
+func addrOf(l net.Listener) netip.AddrPort { return netip.MustParseAddrPort(l.Addr().String()) }
+
+func startInstance(c *qt.C, s Settings, l net.Listener, cut *atomic.Bool) *instance {
+	t, err := New(s, clock.System{}, random.System{}, testKey)
+	c.Assert(err, qt.IsNil)
+	p := peer.NewServer(l)
+	c.Assert(p.AddControl(testKey, t), qt.IsNil)
+	c.Assert(p.AddReplica(testKey, t), qt.IsNil)
+	x, cancel := context.WithCancel(context.Background())
+	n := &instance{Control: t, addr: addrOf(l), cut: cut, cancel: cancel}
+	for _, v := range append(t.Threads(), transport.Server(p)) {
+		n.stopped.Go(func() {
+			if err := v.Start(x); err != nil {
+				c.Error(err)
+			}
+		})
+	}
+	c.Cleanup(n.kill)
+	return n
+}
+
+// kill ends the threads without any farewell.
+func (n *instance) kill() {
+	n.cancel()
+	n.stopped.Wait()
+}
+
+// link returns an address that leads to a unless one of the cuts is made.
+// While it is cut, bytes are neither passed nor refused.
+func link(c *qt.C, a netip.AddrPort, cuts ...*atomic.Bool) netip.AddrPort {
+	l := listen(c)
+	x, cancel := context.WithCancel(context.Background())
+	c.Cleanup(func() { cancel(); _ = l.Close() })
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go pass(x, n, a, cuts)
+		}
+	}()
+	return addrOf(l)
+}
+
+func pass(c context.Context, n net.Conn, a netip.AddrPort, cuts []*atomic.Bool) {
+	defer n.Close()
+	m, err := net.Dial("tcp", a.String())
+	if err != nil {
+		return
+	}
+	defer m.Close()
+	stop := context.AfterFunc(c, func() { _ = n.Close(); _ = m.Close() })
+	defer stop()
+	var w sync.WaitGroup
+	w.Go(func() { copyUncut(c, m, n, cuts) })
+	w.Go(func() { copyUncut(c, n, m, cuts) })
+	w.Wait()
+}
+
+func copyUncut(c context.Context, to, from net.Conn, cuts []*atomic.Bool) {
+	defer to.Close()
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		for isCut(cuts) && c.Err() == nil {
+			time.Sleep(pollWait)
+		}
+		if _, werr := to.Write(b[:n]); werr != nil || err != nil {
+			return
+		}
+	}
+}
+
+func isCut(cuts []*atomic.Bool) bool {
+	for _, b := range cuts {
+		if b.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+// eventually waits until f holds.
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.c.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(pollWait) {
+		if time.Now().After(end) {
+			f.c.Fatalf("%s: did not come about", what)
+		}
+	}
+}
+
+// leader waits for a leader other than those excluded.
+func (f *fleet) leader(except ...*instance) *instance {
+	f.c.Helper()
+	var found *instance
+	f.eventually("a leader", func() bool {
+		for _, n := range f.instances {
+			if n.status.Load().Role == replicate.RoleLeader && !isOneOf(n, except) {
+				found = n
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func isOneOf(n *instance, ns []*instance) bool {
+	for _, x := range ns {
+		if x == n {
+			return true
+		}
+	}
+	return false
+}
+
+// submit sends b to whichever instance leads until it is answered.
+func (f *fleet) submit(b balsampier.Submission, except ...*instance) balsampier.SubmissionAnswer {
+	f.c.Helper()
+	var a balsampier.SubmissionAnswer
+	f.eventually("an answer", func() bool {
+		x, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		a, _, err = f.leader(except...).Submit(x, b)
+		return err == nil
+	})
+	return a
+}
+
+func submission(base balsampier.Revision) balsampier.Submission {
+	return balsampier.Submission{
+		ID: uuid.New(), Base: base,
+		Text: "rule reservas to 127.0.0.1:8443 from 0.0.0.0/0 # Rosa, " + uuid.NewString() + "\n",
+	}
+}
+
+// watch follows an instance directly, past all cuts, from what p stands for.
+func (n *instance) watch(c context.Context, p balsampier.WatchPosition, f func(balsampier.WatchMessage) error) error {
+	l := peer.NewControlClient(testKey, []netip.AddrPort{n.addr}, random.System{})
+	return l.Watch(c, balsampier.WatchRequest{
+		Member: balsampier.Member{ID: 1, Name: "balancer-1", Role: balsampier.RoleBalancer}, Position: p,
+	}, f)
+}
--- a/cmd/control/app/leases.go
+++ b/cmd/control/app/leases.go
@@ -80,8 +80,9 @@
 	// membership is owned by the lease thread.
 	membership struct {
 		collector *lease.Collector
-		// waiting are the members that wait for an answer.
-		waiting map[balsampier.Holder][]chan renewed
+		// waiting holds who waits for an answer: for each member its newest
+		// renewal, as a member makes one after the other.
+		waiting map[balsampier.Holder]chan renewed
 		// table is nil unless this instance leads in term.
 		table *lease.Table
 		term  balsampier.Term
@@ -96,7 +97,7 @@
 )
 
 func newMembership() membership {
-	return membership{collector: lease.NewCollector(), waiting: make(map[balsampier.Holder][]chan renewed)}
+	return membership{collector: lease.NewCollector(), waiting: make(map[balsampier.Holder]chan renewed)}
 }
 
 // keepLeases owns the leases. At the leader every digest is answered only
@@ -174,7 +175,10 @@
 		return
 	}
 	h := r.report.Member.Holder()
-	t.leases.waiting[h] = append(t.leases.waiting[h], r.answer)
+	if w, ok := t.leases.waiting[h]; ok {
+		w <- renewed{err: errSuperseded()}
+	}
+	t.leases.waiting[h] = r.answer
 }
 
 // passOwn hands the next digest to the leader, which may be this instance.
@@ -223,13 +227,17 @@
 	}
 	t.raiseActive(r.receipt.Grant.Active)
 	for _, a := range m.collector.Confirmed(r.receipt) {
-		for _, c := range m.waiting[a.Holder] {
-			c <- renewed{grant: a.Grant, err: a.Err}
+		if w, ok := m.waiting[a.Holder]; ok {
+			w <- renewed{grant: a.Grant, err: a.Err}
 		}
 		delete(m.waiting, a.Holder)
 	}
 }
 
+func errSuperseded() error {
+	return balsampier.NewError(balsampier.KindUnavailable, "renew the lease", "wait for the answer to the later renewal", nil)
+}
+
 func (t *Control) raiseActive(e balsampier.Epoch) {
 	if uint64(e) > t.active.Load() {
 		t.active.Store(uint64(e))
@@ -306,7 +314,7 @@
 	go func() {
 		b, err := peer.EncodeMembership(ch)
 		if err == nil {
-			_, err = t.propose(c, b)
+			_, err = t.propose(c, b, p.term)
 		}
 		p.err = err
 		_ = t.commands.PushWith(c, command{proposed: p}, ring.Block)
--- a/cmd/control/app/operator.go
+++ b/cmd/control/app/operator.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return none, ps, err
 	}
-	a, err := t.propose(c, e)
+	a, err := t.propose(c, e, 0)
 	return a, ps, err
 }
 
--- a/cmd/control/app/replicate.go
+++ b/cmd/control/app/replicate.go
@@ -35,6 +35,9 @@
 		kind    inputKind
 		message replicate.Message
 		data    []byte
+		// term is the one that a proposal was decided in; zero where it may be
+		// proposed in any.
+		term balsampier.Term
 		// outcome takes the fate of a proposal; it has room for it.
 		outcome chan outcome
 		// read takes the answer to a read; it has room for it.
@@ -108,12 +111,7 @@
 	case inputMessage:
 		r.n.Step(i.message)
 	case inputProposal:
-		x, term, err := r.n.Propose(i.data)
-		if err != nil {
-			i.outcome <- outcome{err: err}
-			return
-		}
-		r.proposals[x] = proposal{term: term, outcome: i.outcome}
+		t.takeProposal(i)
 	case inputRead:
 		r.nextToken++
 		if err := r.n.Read(r.nextToken); err != nil {
@@ -132,6 +130,24 @@
 	}
 }
 
+func (t *Control) takeProposal(i input) {
+	r := &t.replica
+	if i.term != 0 && i.term != r.n.Status().Term {
+		i.outcome <- outcome{err: errNotLeader()}
+		return
+	}
+	x, term, err := r.n.Propose(i.data)
+	if err != nil {
+		i.outcome <- outcome{err: err}
+		return
+	}
+	if p, ok := r.proposals[x]; ok {
+		// The log was cut below x since then.
+		p.outcome <- outcome{err: errLost()}
+	}
+	r.proposals[x] = proposal{term: term, outcome: i.outcome}
+}
+
 // handOn distributes what the log wants done.
 func (t *Control) handOn(c context.Context) error {
 	o := t.replica.n.Take()
@@ -251,9 +267,10 @@
 	}
 }
 
-// propose orders an entry and waits for its fate.
-func (t *Control) propose(c context.Context, data []byte) (balsampier.SubmissionAnswer, error) {
-	i := input{kind: inputProposal, data: data, outcome: make(chan outcome, 1)}
+// propose orders an entry and waits for its fate. An entry that was decided in
+// a term is not ordered in another one.
+func (t *Control) propose(c context.Context, data []byte, n balsampier.Term) (balsampier.SubmissionAnswer, error) {
+	i := input{kind: inputProposal, data: data, term: n, outcome: make(chan outcome, 1)}
 	if err := t.inputs.Push(c, i); err != nil {
 		return balsampier.SubmissionAnswer{}, err
 	}
