feat: record what became of every request in the callers' ledger

A keyed request whose answer was lost and that was then refused is now recorded as unknown: it was recorded as not run. Streams, floods and refusals have lines too, with the backend server that answered.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -27,6 +27,11 @@
 	announcePeriod = 500 * time.Millisecond
 	linePeriod     = 100 * time.Millisecond
 	filePerm       = 0o644
+
+	// HeaderServer names the backend server that answered.
+	HeaderServer = "Backend-Server"
+	// HeaderService names its service.
+	HeaderService = "Backend-Service"
 )
 
 type (
@@ -94,16 +99,19 @@
 	case <-r.Context().Done():
 		return
 	}
+	s.sign(w)
 	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", s.o.Service, r.Method, r.URL.RequestURI(), b)
 }
 
 // stream writes numbered lines; the query says how many.
 func (s *server) stream(w http.ResponseWriter, r *http.Request) {
+	s.record(r, nil)
 	n, err := strconv.Atoi(r.URL.Query().Get("lines"))
 	if err != nil || n <= 0 {
 		http.Error(w, "give ?lines=N", http.StatusBadRequest)
 		return
 	}
+	s.sign(w)
 	f := http.NewResponseController(w)
 	for i := range n {
 		if _, err := fmt.Fprintf(w, "%s line %d\n", s.o.Service, i+1); err != nil {
@@ -119,6 +127,12 @@
 	}
 }
 
+// sign names the server in the answer.
+func (s *server) sign(w http.ResponseWriter) {
+	w.Header().Set(HeaderServer, s.o.Name)
+	w.Header().Set(HeaderService, s.o.Service)
+}
+
 func (s *server) drain(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,7 +147,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, _ = fmt.Fprintf(s.ledger, "%s %s %s %s %q\n", s.o.Name, s.o.Service, r.Method, r.Header.Get(ourcaller.HeaderKey), body)
+	_, _ = fmt.Fprintf(s.ledger, "%s %s %s %s %.40q %s\n", s.o.Name, s.o.Service, r.Method, orDash(r.Header.Get(ourcaller.HeaderKey)), body, r.URL.Path)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
 }
 
 func (s *server) announce(c context.Context) {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -2,7 +2,6 @@
 package caller
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -22,15 +21,12 @@
 
 	"github.com/balsampier/balsampier"
 	ourcaller "github.com/balsampier/balsampier/caller"
+	"github.com/balsampier/balsampier/standin/backend"
 )
 
 const (
 	resendPause = 200 * time.Millisecond
-	maxResends  = 100
 	filePerm    = 0o644
-
-	outcomeAnswered = "answered"
-	outcomeUnknown  = "unknown"
 )
 
 type (
@@ -39,9 +35,17 @@
 		URL, CAFile, Method, Body string
 		// Count is the number of requests of each of the Callers.
 		Count, Callers int
+		// For ends the run instead of Count where it is positive. Refusals are
+		// then recorded; only wrong answers make the run fail.
+		For time.Duration
 		// Keyed requests carry an idempotency key and are sent again when
-		// refused as not run.
-		Keyed bool
+		// refused as not run or not answered, at most Resends times.
+		Keyed   bool
+		Resends int
+		// Pad is how many bytes are added to each body.
+		Pad int
+		// Service is the one that must answer; empty for any.
+		Service string
 		// Stream reads numbered lines until the stream ends.
 		Stream bool
 		// Ledger names the file that records outcomes; empty for none.
@@ -59,6 +63,8 @@
 		// ledger is nil without a file.
 		ledger *os.File
 		failed []error
+		// end is zero unless the run ends by the clock.
+		end time.Time
 	}
 
 	// answer is the whole answer to a request.
@@ -67,6 +73,8 @@
 		// refusal is empty for answers of the backend server.
 		refusal string
 		body    string
+		// server is empty for refusals.
+		server string
 	}
 
 	// one is one caller with a connection of its own.
@@ -93,6 +101,9 @@
 			return trace.ConvertSystemError(err)
 		}
 	}
+	if o.For > 0 {
+		r.end = o.Clock.Now().Add(o.For)
+	}
 	var w sync.WaitGroup
 	for i := range o.Callers {
 		w.Go(func() { r.caller(c, i) })
@@ -105,37 +116,66 @@
 	t := &http3.Transport{TLSClientConfig: r.tls}
 	defer func() { _ = t.Close() }()
 	v := &one{run: r, h: &http.Client{Transport: t}}
-	for i := range r.Count {
-		if c.Err() != nil {
-			return
-		}
-		var err error
-		switch {
-		case r.Stream:
-			err = v.stream(c)
-		case r.Keyed:
-			err = v.keyed(c, fmt.Sprintf("%s%d-%d", r.Body, n, i))
-		default:
-			err = v.plain(c, r.Body)
-		}
-		if err != nil {
+	for i := 0; r.goesOn(c, i); i++ {
+		if err := v.once(c, fmt.Sprintf("%d-%d", n, i)); err != nil {
 			r.mu.Lock()
 			r.failed = append(r.failed, err)
 			r.mu.Unlock()
+			r.pause(c)
 		}
 	}
 }
 
+// goesOn reports whether the i-th request is still to be made.
+func (r *run) goesOn(c context.Context, i int) bool {
+	if c.Err() != nil {
+		return false
+	}
+	if r.end.IsZero() {
+		return i < r.Count
+	}
+	return r.Clock.Now().Before(r.end)
+}
+
+func (r *run) pause(c context.Context) {
+	t := r.Clock.NewTimer(resendPause)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-c.Done():
+	}
+}
+
+// once makes one request, which id tells from the others of the run.
+func (v *one) once(c context.Context, id string) error {
+	body := v.Body
+	if v.Keyed {
+		body += id
+	}
+	if v.Pad > 0 {
+		body += " " + strings.Repeat("x", v.Pad)
+	}
+	switch {
+	case v.Stream:
+		return v.stream(c)
+	case v.Keyed:
+		return v.keyed(c, body)
+	default:
+		return v.plain(c, body)
+	}
+}
+
 func (v *one) plain(c context.Context, body string) error {
 	a, err := v.do(c, body, "")
-	if err != nil {
-		return err
+	v.record(outcomeOf(a, err), "-", body, a.server)
+	switch {
+	case err != nil:
+		return v.tolerate(c, err)
+	case a.status == http.StatusOK:
+		v.print(a.body)
+		return v.check(a.body, body)
 	}
-	if a.status != http.StatusOK {
-		return balsampier.NewError(balsampier.KindNotRun, "call "+v.URL, "see the answer", fmt.Errorf("%d: %s", a.status, a.body))
-	}
-	v.print(a.body)
-	return v.check(a.body, body)
+	return v.tolerate(c, balsampier.NewError(balsampier.KindNotRun, "call "+v.URL, "see the answer", fmt.Errorf("%d: %s", a.status, a.body)))
 }
 
 // keyed sends one request until it is answered or its outcome is unknown.
@@ -144,29 +184,33 @@
 	if err != nil {
 		return err
 	}
-	for range maxResends {
-		a, err := v.do(c, body, k.String())
-		switch {
-		case c.Err() != nil:
-			return c.Err()
-		case err != nil:
-			// The answer was lost; the same key makes it safe to ask again.
-		case a.status == http.StatusOK:
-			v.record(outcomeAnswered, k, body)
+	lost := false
+	for i := 0; ; i++ {
+		a, o := v.try(c, body, k.String())
+		// A lost answer may still be on its way; the same key makes it safe to
+		// ask again.
+		lost = lost || o == outcomeLost
+		if o == outcomeAnswered {
+			v.record(o, k.String(), body, a.server)
 			return v.check(a.body, body)
-		case a.refusal != balsampier.KindNotRun.String():
-			v.record(outcomeUnknown, k, body)
-			return nil
 		}
-		t := v.Clock.NewTimer(resendPause)
-		select {
-		case <-t.C():
-		case <-c.Done():
-			return c.Err()
+		if o == outcomeUnknown || i >= v.Resends || ended(c) {
+			if lost || ended(c) {
+				o = outcomeUnknown
+			}
+			v.record(o, k.String(), body, "")
+			return nil
 		}
+		v.pause(c)
 	}
-	v.record(balsampier.KindNotRun.String(), k, body)
-	return nil
+}
+
+func ended(c context.Context) bool { return c.Err() != nil }
+
+// try makes one attempt and tells how it ended.
+func (v *one) try(c context.Context, body, key string) (answer, outcome) {
+	a, err := v.do(c, body, key)
+	return a, outcomeOf(a, err)
 }
 
 func (v *one) do(c context.Context, body, key string) (answer, error) {
@@ -185,7 +229,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	b, err := io.ReadAll(a.Body)
-	return answer{status: a.StatusCode, refusal: a.Header.Get(ourcaller.HeaderRefusal), body: string(b)}, err
+	return answer{status: a.StatusCode, refusal: a.Header.Get(ourcaller.HeaderRefusal), body: string(b), server: a.Header.Get(backend.HeaderServer)}, err
 }
 
 // check finds answers to requests of others.
@@ -194,50 +238,22 @@
 	if err != nil {
 		return err
 	}
+	if !strings.HasPrefix(answer, v.Service) {
+		v.record(outcomeWrong, "-", body, "")
+		return balsampier.NewError(balsampier.KindCorrupt, "check answer", "another service answered", fmt.Errorf("got %q", answer))
+	}
 	if want := fmt.Sprintf("%s %s %s\n", v.Method, u.RequestURI(), body); !strings.HasSuffix(answer, want) {
+		v.record(outcomeWrong, "-", body, "")
 		return balsampier.NewError(balsampier.KindCorrupt, "check answer", "the answer is to another request", fmt.Errorf("got %q, want the end %q", answer, want))
 	}
 	return nil
 }
 
-func (v *one) stream(c context.Context) error {
-	r, err := http.NewRequestWithContext(c, http.MethodGet, v.URL, nil)
-	if err != nil {
-		return err
-	}
-	a, err := v.h.Do(r)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = a.Body.Close() }()
-	n := 0
-	s := bufio.NewScanner(a.Body)
-	for s.Scan() {
-		n++
-		if !strings.HasSuffix(s.Text(), fmt.Sprintf(" line %d", n)) {
-			return balsampier.NewError(balsampier.KindCorrupt, "read stream", "a line is missing", fmt.Errorf("line %d is %q", n, s.Text()))
-		}
-	}
-	if err := s.Err(); err != nil {
-		return trace.Wrap(err, "the stream broke after %d lines", n)
-	}
-	if a.StatusCode != http.StatusOK {
-		return balsampier.NewError(balsampier.KindNotRun, "read stream", "see the status", errors.New(a.Status))
-	}
-	v.print(fmt.Sprintf("stream whole: %d lines\n", n))
-	return nil
-}
-
 func (v *one) print(s string) {
+	if !v.end.IsZero() {
+		return
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	_, _ = io.WriteString(v.Out, s)
 }
-
-func (v *one) record(outcome string, k uuid.UUID, body string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.ledger != nil {
-		_, _ = fmt.Fprintf(v.ledger, "%s %s %q\n", outcome, k, body)
-	}
-}
--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -113,6 +113,10 @@
 	c.Flags().IntVar(&o.Callers, "callers", 1, "number of callers at once")
 	c.Flags().BoolVar(&o.Keyed, "keyed", false, "send an idempotency key and resend what is refused as not run")
 	c.Flags().BoolVar(&o.Stream, "stream", false, "read a stream until it ends and check every line")
+	c.Flags().DurationVar(&o.For, "for", 0, "make requests for this long, and record refusals instead of failing")
+	c.Flags().IntVar(&o.Resends, "resends", 100, "how often a keyed request is sent again at most")
+	c.Flags().IntVar(&o.Pad, "pad", 0, "bytes to add to each body")
+	c.Flags().StringVar(&o.Service, "service", "", "service that must answer")
 	c.Flags().StringVar(&o.Ledger, "ledger", "", "`file` that records what was answered")
 	c.Flags().DurationVar(&o.Timeout, "timeout", 10*time.Second, "patience for one request")
 	return c
