feat: soak the processes under faults and run the fuzz targets

make soak runs control, balancers, agents and stand-ins under load while faults go on in an order that the seed picks, and compares the ledgers at the end; make fuzz runs each fuzz target for a short time.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := . $(sort $(patsubst %/go.mod,%,$(wildcard cmd/*/go.mod standin/go.mod)))
 export GOWORK := $(CURDIR)/go.work
 
-.PHONY: test demo bench build fmt lint unit generate
+.PHONY: test demo bench build fmt lint unit generate soak fuzz
 
 test: lint unit
 
@@ -26,6 +26,13 @@
 demo: build
 	@bash demo/demo.sh
 
+soak: build
+	@bash soak/fuzz.sh 3s
+	@bash soak/soak.sh $(SEED)
+
+fuzz:
+	@bash soak/fuzz.sh
+
 generate:
 	protoc -I peer/peerpb --go_out=peer/peerpb --go_opt=paths=source_relative \
 	  --go-drpc_out=peer/peerpb --go-drpc_opt=paths=source_relative peer/peerpb/peer.proto
--- /dev/null
+++ b/soak/load.sh
@@ -0,0 +1,106 @@
+# Load, and the ledgers that the promises are checked against.
+# shellcheck shell=bash
+
+# submissions holds one folder per submission with its text, its state as it
+# was before the first send, and its answer.
+submissions=$run/submissions
+mkdir -p "$submissions"
+
+running() { [ ! -e "$run/ended" ]; }
+
+rules_text() { # MARKER
+  cat <<RULES
+# $1
+rule reservas to 127.0.0.1:8443 from 0.0.0.0/0 daily 00:00-24:00 America/Lima class urgent # Rosa, all day
+rule galeria to 127.0.0.1:8444 from 0.0.0.0/0 # Rosa, photos
+RULES
+}
+
+# new_submission NAME BASE writes a submission with an ID of its own.
+new_submission() {
+  local d=$submissions/$1
+  mkdir -p "$d"
+  rules_text "$1" >"$d/rules.txt"
+  printf '{"base":%s,"pending":{"id":"%s","base":%s,"text":"%s"}}' \
+    "$2" "$(cat /proc/sys/kernel/random/uuid)" "$2" "$(sed ':a;N;$!ba;s/\n/\\n/g' "$d/rules.txt")\\n" >"$d/state"
+}
+
+# send_submission NAME sends it as it was first written and prints "accepted
+# REVISION" or "lost REVISION"; it fails while there is no answer.
+send_submission() {
+  local d=$submissions/$1 out t
+  t=$(mktemp -d "$d/send.XXXXXX")
+  cp "$d/rules.txt" "$t/rules.txt"
+  cp "$d/state" "$t/rules.txt.state"
+  out=$(operate submit "$t/rules.txt" 2>&1) || true
+  rm -r "$t"
+  echo "$out" >>"$d/log"
+  sed -n 's/.*accepted as revision \([0-9]*\).*/accepted \1/p; s/.*revision \([0-9]*\) won.*/lost \1/p' <<<"$out" | grep .
+}
+
+# submit_until_answered NAME resends one submission until it has an answer.
+submit_until_answered() {
+  local d=$submissions/$1
+  until send_submission "$1" >"$d/answer.new"; do
+    running || return 0
+    echo resent >>"$d/resent"
+  done
+  mv "$d/answer.new" "$d/answer"
+}
+
+# operator NAME submits one edit after the other, each from the newest
+# revision it has heard of.
+operator() {
+  local n=0 base=0
+  while running; do
+    n=$((n + 1))
+    new_submission "$1-$n" "$base"
+    submit_until_answered "$1-$n"
+    [ -e "$submissions/$1-$n/answer" ] && read -r _ base <"$submissions/$1-$n/answer"
+  done
+}
+
+# accepted prints "REVISION BASE NAME" for every accepted submission.
+accepted() {
+  local d base
+  for d in "$submissions"/*/; do
+    [ -e "$d/answer" ] || continue
+    base=$(sed 's/{"base":\([0-9]*\).*/\1/' "$d/state")
+    sed -n "s/accepted \(.*\)/\1 $base $(basename "$d")/p" "$d/answer"
+  done | sort -n
+}
+newest() { sed -n 's/accepted //p' "$submissions"/*/answer | sort -n | tail -1; }
+
+# poll NAME URL notes "NAME INCARNATION READY REVISION EPOCH" again and again.
+poll() {
+  while running; do
+    operate dump "$2" 2>/dev/null | awk -v n="$1" -F'[:, ]+' '
+      { gsub(/"/, "") }
+      $2 == "incarnation" && !i { i = $3 }
+      $2 == "ready" { r = $3 }
+      $2 == "revision" && !v { v = $3 }
+      $2 == "epoch" && !e { e = $3 }
+      END { if (i) print n, i, r, v + 0, e + 0 }' >>"$run/members.ledger"
+    sleep 0.3
+  done
+}
+
+# load starts everything that goes on while faults happen.
+load() { # SECONDS
+  local n
+  start operator-a operator a
+  start operator-b operator b
+  for n in 1 2 3; do start "poll-balancer-$n" poll "balancer-$n" "http://127.0.1.$n:7100"; done
+  for n in 1 2 3 4; do start "poll-agent-$n" poll "agent-$n" "http://127.0.2.$n:7100"; done
+  # Streams, a flood of normal work, holds with and without resends, uploads.
+  local c=("$bin/standin" caller --ca "$run/cert.pem" --for "$1s" --ledger "$run/caller.ledger")
+  start streams "${c[@]}" --stream --callers 6 --service reservas \
+    "https://127.0.0.1:8443/stream?lines=120"
+  start flood "${c[@]}" --callers 40 --service galeria --timeout 3s https://127.0.0.1:8444/photo
+  start holds "${c[@]}" --keyed --method POST --callers 6 --service reservas --body hold --timeout 5s \
+    https://127.0.0.1:8443/holds
+  start once "${c[@]}" --keyed --resends 0 --method POST --callers 12 --service reservas --body once --timeout 2s \
+    https://127.0.0.1:8443/holds
+  start uploads "${c[@]}" --keyed --method POST --callers 3 --service reservas --body upload --pad 60000 --timeout 5s \
+    https://127.0.0.1:8443/holds
+}
--- /dev/null
+++ b/soak/promises.sh
@@ -0,0 +1,46 @@
+# What is checked against the ledgers at the end.
+# shellcheck shell=bash
+
+none() { local out; out=$("$@"); [ -z "$out" ] || { echo "$out" | head -20; return 1; }; }
+at_least() { local n=$1 got; shift; got=$("$@"); [ "$got" -ge "$n" ] || { echo "only $got"; return 1; }; }
+ledger() { awk "$1" "$run/caller.ledger"; }
+
+# Control.
+two_winners() { accepted | awk '{ print $2 }' | uniq -d; }
+skipped_revisions() { accepted | awk '$1 != NR || $2 != NR - 1'; }
+unanswered() { local d; for d in "$submissions"/*/; do [ -e "$d/answer" ] || echo "$d"; done; }
+changed_answers() {
+  local n was got
+  # Those that were resent under faults, and some others.
+  for n in $( (cd "$submissions" && ls -d */ | shuf --random-source=<(yes "$seed") -n 20; ls -d */resent) | sed 's,/.*,,' | sort -u); do
+    was=$(cat "$submissions/$n/answer")
+    got=$(send_submission "$n" || echo none)
+    [ "$was" = "$got" ] || echo "$n: first $was, then $got"
+  done
+}
+newest_is_in_force() {
+  local r n
+  read -r r _ n < <(accepted | tail -1)
+  operate rules -o "$run/final.txt" | grep -q ": revision $r\$" && cmp "$run/final.txt" "$submissions/$n/rules.txt"
+}
+fell_back() { awk '$3 == "true" { if ($4 < r[$1] || $5 < e[$1]) print; if ($4 > r[$1]) r[$1] = $4; if ($5 > e[$1]) e[$1] = $5 }' "$run/members.ledger"; }
+stale() { cat "$run/stale" 2>/dev/null; }
+
+# replays prints how many entries a restarted instance replays.
+replays() { # N
+  tail -n 50 "$run/control-$1.log" | tr -d '"' | sed -n 's/.*snapshot:\([0-9]*\),last:\([0-9]*\).*/\1 \2/p' | tail -1 | awk '{ print $2 - $1 }'
+}
+replays_few() { local n; n=$(replays "$1"); echo "replays $n entries"; [ -n "$n" ] && [ "$n" -lt 200 ]; }
+
+# Requests.
+keys_run() { awk '$4 != "-" { print $4 }' "$run/backend.ledger" | sort; }
+run_twice() { keys_run | uniq -d | while read -r k; do grep -h "$k" "$run/backend.ledger" "$run/caller.ledger"; done; }
+not_run_that_ran() { comm -12 <(ledger '$1 == "notRun" && $2 != "-" { print $2 }' | sort -u) <(keys_run | uniq); }
+answered_not_run() { comm -23 <(ledger '$1 == "answered" && $2 != "-" { print $2 }' | sort -u) <(keys_run | uniq); }
+crossed() {
+  awk '($2 == "reservas" && $NF !~ /^\/(holds|stream)/) || ($2 == "galeria" && $NF !~ /^\/photo/)' "$run/backend.ledger"
+  ledger '$1 == "wrong"'
+}
+not_honest() { ledger '$2 != "-" && $1 !~ /^(answered|notRun|unknown)$/'; }
+cut_streams() { ledger '$1 == "cut"' | grep -vwFf <(cat "$run/killed" 2>/dev/null; echo nothing-was-killed) || true; }
+count() { ledger "$1" | grep -c '' || true; }
