--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -35,9 +35,10 @@
 ask_frozen() { # N REVISION
   local got
   got=$("$bin/balsampier" --control "http://127.0.3.$1:7100" --key-file "$run/operator.key" \
-    rules -o "$run/frozen-$BASHPID.txt" 2>&1 | sed -n 's/.*: revision //p')
-  [ -z "$got" ] || [ "$got" -ge "$2" ] || echo "control-$1 answered revision $got after $2 was accepted" >>"$run/stale"
-  [ -z "$got" ] || echo "$got" >>"$run/frozen.answers"
+    rules -o "$run/frozen-$BASHPID.txt" 2>&1 | sed -n 's/.*: revision //p') || true
+  [ -n "$got" ] || return 0
+  echo "$got" >>"$run/frozen.answers"
+  [ "$got" -ge "$2" ] || echo "control-$1 answered revision $got after $2 was accepted" >>"$run/stale"
 }
 
 leader_frozen() {
@@ -66,7 +67,7 @@
   second=$(leader)
   stop "control-$second" KILL
   check "a second one killed right after the repair: control leads again" eventually 30 led_by_other "$second"
-  covers() { local r; r=$(operate rules -o "$run/repair.txt" 2>&1 | sed -n 's/.*: revision //p'); [ -n "$r" ] && [ "$r" -ge "$before" ]; }
+  covers() { local r; r=$(operate rules -o "$run/repair.txt" 2>&1 | sed -n "s/.*: revision //p") || return 1; [ -n "$r" ] && [ "$r" -ge "$before" ]; }
   check "what was accepted before the second death is still there" eventually 20 covers
   control_goes_on "second instance killed after a repair"
   start_control "$second"
@@ -137,3 +138,23 @@
   start_agent 1 reservas
   sleep 2
 }
+
+# several_at_once has faults of all kinds at the same moment.
+several_at_once() {
+  local l
+  l=$(leader)
+  echo backend-2 >>"$run/killed"
+  freeze "control-$l"
+  stop balancer-1 KILL
+  stop agent-2 KILL
+  stop backend-2 KILL
+  freeze balancer-2
+  sleep 2
+  thaw balancer-2
+  start_balancer 1
+  start_agent 2 reservas
+  check "another control instance leads" eventually 30 led_by_other "$l"
+  control_goes_on "several faults at once"
+  thaw "control-$l"
+  sleep 2
+}
--- a/soak/load.sh
+++ b/soak/load.sh
@@ -2,8 +2,10 @@
 # shellcheck shell=bash
 
 # submissions holds one folder per submission with its text, its state as it
-# was before the first send, and its answer.
+# was before the first send, and its answer; submission_ledger has a line
+# "OUTCOME REVISION BASE NAME" for each answer.
 submissions=$run/submissions
+submission_ledger=$run/submission.ledger
 mkdir -p "$submissions"
 
 running() { [ ! -e "$run/ended" ]; }
@@ -38,14 +40,18 @@
   sed -n 's/.*accepted as revision \([0-9]*\).*/accepted \1/p; s/.*revision \([0-9]*\) won.*/lost \1/p' <<<"$out" | grep .
 }
 
-# submit_until_answered NAME resends one submission until it has an answer.
+# submit_until_answered NAME resends one submission until it has an answer, or
+# too often.
 submit_until_answered() {
-  local d=$submissions/$1
+  local d=$submissions/$1 sends=0
   until send_submission "$1" >"$d/answer.new"; do
-    running || return 0
     echo resent >>"$d/resent"
+    sends=$((sends + 1))
+    [ "$sends" -lt 100 ] || return 0
+    sleep 0.1
   done
   mv "$d/answer.new" "$d/answer"
+  echo "$(cat "$d/answer") $(sed 's/{"base":\([0-9]*\).*/\1/' "$d/state") $1" >>"$submission_ledger"
 }
 
 # operator NAME submits one edit after the other, each from the newest
@@ -61,15 +67,8 @@
 }
 
 # accepted prints "REVISION BASE NAME" for every accepted submission.
-accepted() {
-  local d base
-  for d in "$submissions"/*/; do
-    [ -e "$d/answer" ] || continue
-    base=$(sed 's/{"base":\([0-9]*\).*/\1/' "$d/state")
-    sed -n "s/accepted \(.*\)/\1 $base $(basename "$d")/p" "$d/answer"
-  done | sort -n
-}
-newest() { sed -n 's/accepted //p' "$submissions"/*/answer | sort -n | tail -1; }
+accepted() { sed -n 's/^accepted //p' "$submission_ledger" | sort -n; }
+newest() { accepted | tail -1 | cut -d' ' -f1; }
 
 # poll NAME URL notes "NAME INCARNATION READY REVISION EPOCH" again and again.
 poll() {
--- a/soak/promises.sh
+++ b/soak/promises.sh
@@ -8,7 +8,7 @@
 # Control.
 two_winners() { accepted | awk '{ print $2 }' | uniq -d; }
 skipped_revisions() { accepted | awk '$1 != NR || $2 != NR - 1'; }
-unanswered() { local d; for d in "$submissions"/*/; do [ -e "$d/answer" ] || echo "$d"; done; }
+unanswered() { comm -23 <(ls "$submissions" | sort) <(awk '{ print $4 }' "$submission_ledger" | sort); }
 changed_answers() {
   local n was got
   # Those that were resent under faults, and some others.
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -15,14 +15,14 @@
 . "$top/soak/faults.sh"
 # shellcheck source=soak/promises.sh
 . "$top/soak/promises.sh"
-trap 'stop_all' EXIT
+trap 'code=$?; stop_all; [ $code = 0 ] || echo "ended with code $code; logs are in $run"' EXIT
 controls 3
 
 faults=("$@")
 if [ ${#faults[@]} = 0 ]; then
   mapfile -t faults < <(printf '%s\n' leader_killed leader_frozen disk_lost_then_second_killed \
     cut_off_while_balancer_starts balancer_1_killed balancer_2_killed balancer_frozen balancer_stopped \
-    agent_frozen agent_killed server_killed server_drained | shuf --random-source=<(yes "$seed"))
+    agent_frozen agent_killed server_killed server_drained several_at_once | shuf --random-source=<(yes "$seed"))
 fi
 
 echo "seed $seed: three control instances, two balancers, four agents; faults: ${faults[*]}"
@@ -57,9 +57,10 @@
   "$(count '1') outcomes at callers, $(grep -c '' "$run/backend.ledger") runs at backend servers"
 check "the load was real: submissions, holds, uploads, refusals, whole streams" eval '
   at_least 20 newest && at_least 100 count "\$1 == \"answered\" && /\"hold/" && at_least 10 count "/\"upload/" &&
-  at_least 1 count "\$1 == \"notRun\"" && at_least 6 count "\$1 == \"whole\""'
+  at_least 1 count "\$1 == \"notRun\" && \$2 != \"-\"" && at_least 6 count "\$1 == \"whole\""'
 check "exactly one submission wins on each base" none two_winners
 check "every accepted revision stands on the one before it" none skipped_revisions
+check "every submission has an answer" none unanswered
 check "every resend gets its first answer" none changed_answers
 check "the newest accepted file is the one in force" newest_is_in_force
 check "no ready member's revision or epoch ever fell" none fell_back
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -213,8 +213,9 @@
 	return a, outcomeOf(a, err)
 }
 
+// do makes one attempt; the end of c does not end it, its timeout does.
 func (v *one) do(c context.Context, body, key string) (answer, error) {
-	c, cancel := context.WithTimeout(c, v.Timeout)
+	c, cancel := context.WithTimeout(context.WithoutCancel(c), v.Timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(c, v.Method, v.URL, strings.NewReader(body))
 	if err != nil {
--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -14,9 +14,10 @@
 	"github.com/balsampier/balsampier/standin/backend"
 )
 
-// stream reads one stream and checks each of its lines.
+// stream reads one stream and checks each of its lines. The end of c ends no
+// stream, so that its outcome is seen.
 func (v *one) stream(c context.Context) error {
-	r, err := http.NewRequestWithContext(c, http.MethodGet, v.URL, nil)
+	r, err := http.NewRequestWithContext(context.WithoutCancel(c), http.MethodGet, v.URL, nil)
 	if err != nil {
 		return err
 	}
@@ -41,10 +42,6 @@
 			return balsampier.NewError(balsampier.KindCorrupt, "read stream", "a line is missing or of another stream", fmt.Errorf("line %d is %q", n, s.Text()))
 		}
 	}
-	if c.Err() != nil {
-		// The caller itself went away.
-		return nil
-	}
 	if err := s.Err(); err != nil {
 		v.record(outcomeCut, "-", fmt.Sprintf("%d lines", n), server)
 		return v.tolerate(c, trace.Wrap(err, "the stream broke after %d lines", n))
