--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -104,6 +104,13 @@
 balancer_stopped() { stop balancer-2 TERM; start_balancer 2; sleep 2; }
 agent_frozen() { freeze agent-1; sleep 2; thaw agent-1; sleep 1; }
 
+# agent_stopped stops an agent as planned while its server knows of nothing.
+agent_stopped() {
+  stop agent-1 TERM
+  start agent-1 "$bin/agent" run --config "$run/agent-1.yaml"
+  sleep 2
+}
+
 # agent_killed kills the agent alone; its backend server works on.
 agent_killed() {
   echo backend-2 >>"$run/killed"
