--- a/cmd/control/app/activation.go
+++ b/cmd/control/app/activation.go
@@ -49,14 +49,14 @@
 	if m.table == nil || m.logging || len(m.completed) == 0 {
 		return
 	}
-	cs := m.completed
+	cs, n := m.completed, m.term
 	m.completed, m.logging = nil, true
 	go func() {
 		x, cancel := context.WithTimeout(c, confirmTimeout)
 		defer cancel()
 		b, err := peer.EncodeCompletions(cs)
 		if err == nil {
-			_, err = t.propose(x, b)
+			_, err = t.propose(x, b, n)
 		}
 		if err != nil && c.Err() == nil {
 			t.log.Warn().Err(err).Int("holders", len(cs)).Msg("completed claims not logged; the holders say it again")
--- a/cmd/control/app/operator.go
+++ b/cmd/control/app/operator.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return none, ps, err
 	}
-	a, err := t.propose(c, e)
+	a, err := t.propose(c, e, 0)
 	if err == nil && !a.Accepted {
 		countRefused(balsampier.KindConflict)
 	}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -31,6 +31,11 @@
 
 	healthPath = "/healthz"
 	loadPath   = "/load"
+
+	// HeaderServer names the backend server that answered.
+	HeaderServer = "Backend-Server"
+	// HeaderService names its service.
+	HeaderService = "Backend-Service"
 )
 
 type (
@@ -104,16 +109,19 @@
 	case <-r.Context().Done():
 		return
 	}
+	s.sign(w)
 	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", s.o.Service, r.Method, r.URL.RequestURI(), b)
 }
 
 // stream writes numbered lines; the query says how many.
 func (s *server) stream(w http.ResponseWriter, r *http.Request) {
+	s.record(r, nil)
 	n, err := strconv.Atoi(r.URL.Query().Get("lines"))
 	if err != nil || n <= 0 {
 		http.Error(w, "give ?lines=N", http.StatusBadRequest)
 		return
 	}
+	s.sign(w)
 	f := http.NewResponseController(w)
 	for i := range n {
 		if _, err := fmt.Fprintf(w, "%s line %d\n", s.o.Service, i+1); err != nil {
@@ -134,6 +142,12 @@
 	_ = json.NewEncoder(w).Encode(map[string]int64{"running": s.running.Load(), "slots": int64(s.o.Slots)})
 }
 
+// sign names the server in the answer.
+func (s *server) sign(w http.ResponseWriter) {
+	w.Header().Set(HeaderServer, s.o.Name)
+	w.Header().Set(HeaderService, s.o.Service)
+}
+
 // drain announces a drain, or its end with ?end=1.
 func (s *server) drain(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -149,7 +163,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, _ = fmt.Fprintf(s.ledger, "%s %s %s %s %q\n", s.o.Name, s.o.Service, r.Method, r.Header.Get(ourcaller.HeaderKey), body)
+	_, _ = fmt.Fprintf(s.ledger, "%s %s %s %s %.40q %s\n", s.o.Name, s.o.Service, r.Method, orDash(r.Header.Get(ourcaller.HeaderKey)), body, r.URL.Path)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
 }
 
 func (s *server) announce(c context.Context) {
