fix: keep the keys of two tests of control apart

Change: the fleet test's key is called fleetKey. Measured: go test ./... in cmd/control. Conclusion: none.

--- a/cmd/control/app/fleet_test.go
+++ b/cmd/control/app/fleet_test.go
@@ -27,7 +27,7 @@
 	pollWait = 20 * time.Millisecond
 )
 
-var testKey = peer.NewKey([]byte("test"))
+var fleetKey = peer.NewKey([]byte("test"))
 
 type (
 	// fleet is a set of control instances that talk over loopback.
@@ -84,11 +84,11 @@
 func addrOf(l net.Listener) netip.AddrPort { return netip.MustParseAddrPort(l.Addr().String()) }
 
 func startInstance(c *qt.C, s Settings, l net.Listener, cut *atomic.Bool) *instance {
-	t, err := New(s, clock.System{}, random.System{}, testKey)
+	t, err := New(s, clock.System{}, random.System{}, fleetKey)
 	c.Assert(err, qt.IsNil)
 	p := peer.NewServer(l)
-	c.Assert(p.AddControl(testKey, t), qt.IsNil)
-	c.Assert(p.AddReplica(testKey, t), qt.IsNil)
+	c.Assert(p.AddControl(fleetKey, t), qt.IsNil)
+	c.Assert(p.AddReplica(fleetKey, t), qt.IsNil)
 	x, cancel := context.WithCancel(context.Background())
 	n := &instance{Control: t, addr: addrOf(l), cut: cut, cancel: cancel}
 	for _, v := range append(t.Threads(), transport.Server(p)) {
@@ -222,7 +222,7 @@
 
 // watch follows an instance directly, past all cuts, from what p stands for.
 func (n *instance) watch(c context.Context, p balsampier.WatchPosition, f func(balsampier.WatchMessage) error) error {
-	l := peer.NewControlClient(testKey, []netip.AddrPort{n.addr}, random.System{})
+	l := peer.NewControlClient(fleetKey, []netip.AddrPort{n.addr}, random.System{})
 	return l.Watch(c, balsampier.WatchRequest{
 		Member: balsampier.Member{ID: 1, Name: "balancer-1", Role: balsampier.RoleBalancer}, Position: p,
 	}, f)
