--- a/demo/claims.sh
+++ b/demo/claims.sh
@@ -15,7 +15,7 @@
 start balancer-1 "$bin/balancer" run --config "$run/balancer-1.yaml"
 for n in 1 2 3 4; do start_agent $n reservas; done
 start fabric "$bin/standin" fabric --route 127.0.0.1:8443=127.0.1.1:8443
-echo "rule reservas to 127.0.0.1:8443 from 0.0.0.0/0" >"$run/rules.txt"
+echo "rule reservas to 127.0.0.1:8443 from 0.0.0.0/0 # Rosa, all day" >"$run/rules.txt"
 check "members announce themselves" eventually 10 in_force 0 5
 check "the rule file is accepted" operate submit "$run/rules.txt"
 check "it is in force everywhere" eventually 10 in_force 1 5
@@ -44,4 +44,7 @@
 check "all that were answered ran" answered_ran
 check "none that was refused as not run ran" not_run
 for o in answered notRun unknown; do echo "      $o: $(told $o | wc -l)"; done
+echo "      reasons of unknown:"
+awk '$1 == "unknown" {print $4}' "$run/caller.ledger" | sort | uniq -c
+echo "      of which ran: $(comm -12 <(told unknown) "$run/ran" | wc -l)"
 finish
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -68,6 +68,8 @@
 		status int
 		// refusal is empty for answers of the backend server.
 		refusal string
+		// reason is the reason of the refusal.
+		reason string
 		body    string
 	}
 
@@ -154,10 +156,10 @@
 		case err != nil:
 			// The answer was lost; the same key makes it safe to ask again.
 		case a.status == http.StatusOK:
-			v.record(outcomeAnswered, k, body)
+			v.record(outcomeAnswered, k, body, "")
 			return v.check(a.body, body)
 		case a.refusal != balsampier.KindNotRun.String():
-			v.record(outcomeUnknown, k, body)
+			v.record(outcomeUnknown, k, body, a.reason)
 			return nil
 		}
 		t := v.Clock.NewTimer(resendPause)
@@ -167,7 +169,7 @@
 			return c.Err()
 		}
 	}
-	v.record(balsampier.KindNotRun.String(), k, body)
+	v.record(balsampier.KindNotRun.String(), k, body, "")
 	return nil
 }
 
@@ -187,7 +189,7 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	b, err := io.ReadAll(a.Body)
-	return answer{status: a.StatusCode, refusal: a.Header.Get(ourcaller.HeaderRefusal), body: string(b)}, err
+	return answer{status: a.StatusCode, refusal: a.Header.Get(ourcaller.HeaderRefusal), reason: a.Header.Get(ourcaller.HeaderReason), body: string(b)}, err
 }
 
 // check finds answers to requests of others.
@@ -236,10 +238,10 @@
 	_, _ = io.WriteString(v.Out, s)
 }
 
-func (v *one) record(outcome string, k uuid.UUID, body string) {
+func (v *one) record(outcome string, k uuid.UUID, body, reason string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.ledger != nil {
-		_, _ = fmt.Fprintf(v.ledger, "%s %s %q\n", outcome, k, body)
+		_, _ = fmt.Fprintf(v.ledger, "%s %s %q %s\n", outcome, k, body, reason)
 	}
 }
