--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -70,7 +70,7 @@
 		refusal string
 		// reason is the reason of the refusal.
 		reason string
-		body    string
+		body   string
 	}
 
 	// one is one caller with a connection of its own.
