fix: refuse a keyed request when the ring of claims is full

Cause: its handler waited for room without bound. Change: it is refused as unknown, as nobody was asked whether an earlier send ran. Measured: go test -race ./app in cmd/agent passes; the overflow itself was not run.

--- a/cmd/agent/app/keyed.go
+++ b/cmd/agent/app/keyed.go
@@ -15,6 +15,7 @@
 	"github.com/balsampier/balsampier/caller"
 	"github.com/balsampier/balsampier/command/answer"
 	"github.com/balsampier/balsampier/command/claim"
+	"github.com/balsampier/balsampier/ring"
 )
 
 const (
@@ -71,7 +72,10 @@
 	for {
 		c := make(chan verdict, 1)
 		draining := k.v.Draining || k.a.stopping.Load()
-		k.a.claims.post(openMessage{key: k.q.Key, print: k.print, probe: draining, until: k.patience(), answer: c})
+		m := openMessage{key: k.q.Key, print: k.print, probe: draining, until: k.patience(), answer: c}
+		if err := k.a.claims.messages.PushWith(k.r.Context(), m, ring.Reject); err != nil {
+			return refuse(reasonRingFull, retryAfter, errUnknown(err))
+		}
 		v := <-c
 		switch v.kind {
 		case verdictKnown:
