--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -74,7 +74,9 @@
 		status int
 		// refusal is empty for answers of the backend server.
 		refusal string
-		body    string
+		// reason is the reason of the refusal.
+		reason string
+		body   string
 		// server is empty for refusals.
 		server string
 	}
@@ -200,7 +202,7 @@
 			if lost || ended(c) {
 				o = outcomeUnknown
 			}
-			v.record(o, k.String(), body, "")
+			v.record(o, k.String(), body, a.reason)
 			return nil
 		}
 		v.pause(c)
@@ -232,7 +234,10 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	b, err := io.ReadAll(a.Body)
-	return answer{status: a.StatusCode, refusal: a.Header.Get(ourcaller.HeaderRefusal), body: string(b), server: a.Header.Get(backend.HeaderServer)}, err
+	return answer{
+		status: a.StatusCode, refusal: a.Header.Get(ourcaller.HeaderRefusal), reason: a.Header.Get(ourcaller.HeaderReason),
+		body: string(b), server: a.Header.Get(backend.HeaderServer),
+	}, err
 }
 
 // check finds answers to requests of others.
