--- a/operator/metrics_test.go
+++ b/operator/metrics_test.go
@@ -19,7 +19,7 @@
 )
 
 // TestMetricsAreDocumented holds docs/METRICS.md to the metrics in the source
-// of all modules.
+// of all modules, and the alarms in docs/OPERATIONS.md to that.
 func TestMetricsAreDocumented(t *testing.T) {
 	c := qt.New(t)
 	var used []string
@@ -46,4 +46,11 @@
 	slices.Sort(used)
 	slices.Sort(documented)
 	c.Assert(documented, qt.DeepEquals, slices.Compact(used))
+	alarms, err := os.ReadFile("../docs/OPERATIONS.md")
+	c.Assert(err, qt.IsNil)
+	named := metricName.FindAllSubmatch(alarms, -1)
+	c.Assert(named, qt.Not(qt.HasLen), 0)
+	for _, m := range named {
+		c.Check(used, qt.Contains, string(m[1]))
+	}
 }
