feat: log submissions, bound their wait and dump a pledge

Change: control answers unknown after 4 s, within the 5 s that the command line gives one instance; each submission is logged with id, base and outcome; the dump names the instance that a blank one pledged itself to.

Measured: go test -race ./... in cmd/control passes.

--- a/cmd/control/app/operator.go
+++ b/cmd/control/app/operator.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/replicate"
@@ -17,6 +18,10 @@
 	"github.com/balsampier/balsampier/ring"
 )
 
+// submitTimeout bounds the wait for a majority; a client asks another instance
+// afterwards.
+const submitTimeout = 4 * time.Second
+
 type (
 	// Dump is the state of a control instance.
 	Dump struct {
@@ -31,11 +36,13 @@
 
 	// ReplicaDump is the state of the replicated log.
 	ReplicaDump struct {
-		Role      string           `json:"role"`
-		Term      balsampier.Term  `json:"term"`
-		Leader    string           `json:"leader"`
-		Disk      string           `json:"diskIncarnation"`
-		Blank     bool             `json:"blank"`
+		Role   string          `json:"role"`
+		Term   balsampier.Term `json:"term"`
+		Leader string          `json:"leader"`
+		Disk   string          `json:"diskIncarnation"`
+		Blank  bool            `json:"blank"`
+		// Pledge is the instance whose first membership a blank one agreed to.
+		Pledge    string           `json:"pledge,omitempty"`
 		Voters    []string         `json:"voters"`
 		Learners  []string         `json:"learners"`
 		Last      balsampier.Index `json:"last"`
@@ -47,6 +54,19 @@
 // Submit implements operator.RuleCommands. A resend gets the answer that was
 // recorded, also when its file would be refused by now.
 func (t *Control) Submit(c context.Context, b balsampier.Submission) (balsampier.SubmissionAnswer, []balsampier.Problem, error) {
+	c, cancel := context.WithTimeout(c, submitTimeout)
+	defer cancel()
+	a, ps, err := t.submit(c, b)
+	e := t.log.Info()
+	if balsampier.KindOf(err) == balsampier.KindNotLeader {
+		e = t.log.Debug()
+	}
+	e.Stringer("id", b.ID).Uint64("base", uint64(b.Base)).Bool("accepted", a.Accepted).Uint64("revision", uint64(a.Revision)).
+		Int("problems", len(ps)).Err(err).Msg("submission")
+	return a, ps, err
+}
+
+func (t *Control) submit(c context.Context, b balsampier.Submission) (balsampier.SubmissionAnswer, []balsampier.Problem, error) {
 	var none balsampier.SubmissionAnswer
 	if t.status.Load().Role != replicate.RoleLeader {
 		return none, nil, countRefusal(errNotLeader())
@@ -162,7 +182,7 @@
 		Program: "control", Name: t.s.Name, Revision: p.rules.Revision, Epoch: p.view.Epoch, Members: members.Summarize(p.view),
 		Replica: ReplicaDump{
 			Role: s.Role.String(), Term: s.Term, Leader: t.nameOf(s.Leader.Instance), Disk: diskName(s.Self),
-			Blank: s.Blank, Voters: t.namesOf(s.Set.Voters), Learners: t.namesOf(s.Set.Learners),
+			Blank: s.Blank, Pledge: t.nameOf(s.Pledge.Instance), Voters: t.namesOf(s.Set.Voters), Learners: t.namesOf(s.Set.Learners),
 			Last: s.Last, Committed: s.Commit, Snapshot: s.Snapshot,
 		},
 		Rings: []ring.Stats{
