--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 soak: build
 	@bash soak/fuzz.sh 3s
+	@bash soak/claims.sh
 	@bash soak/soak.sh $(SEED)
 
 fuzz:
