test: excuse a cut stream by a kill within its time only

A stream of a server that was killed at any time in the run counted as cut by that kill. Tried on made-up ledgers: a cut before or after the kill, a cut at another server and a cut without any kill are named.

--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -10,6 +10,9 @@
 freeze() { kill -STOP "${pids[$1]}"; }
 thaw() { kill -CONT "${pids[$1]}"; }
 
+# note_killed NAME notes when a backend server or its agent was killed.
+note_killed() { echo "$1 $(date +%s)" >>"$run/killed"; }
+
 # passes_on NUMBER is true when more submissions were accepted than that.
 passes_on() { [ "$(newest)" -gt "$1" ]; }
 
@@ -113,7 +116,7 @@
 
 # agent_killed kills the agent alone; its backend server works on.
 agent_killed() {
-  echo backend-2 >>"$run/killed"
+  note_killed backend-2
   stop agent-2 KILL
   sleep 1
   start agent-2 "$bin/agent" run --config "$run/agent-2.yaml"
@@ -121,7 +124,7 @@
 }
 
 server_killed() {
-  echo backend-2 >>"$run/killed"
+  note_killed backend-2
   stop agent-2 KILL
   stop backend-2 KILL
   sleep 1
@@ -150,7 +153,7 @@
 several_at_once() {
   local l
   l=$(leader)
-  echo backend-2 >>"$run/killed"
+  note_killed backend-2
   freeze "control-$l"
   stop balancer-1 KILL
   stop agent-2 KILL
--- a/soak/promises.sh
+++ b/soak/promises.sh
@@ -42,5 +42,15 @@
   ledger '$1 == "wrong"'
 }
 not_honest() { ledger '$2 != "-" && $1 !~ /^(answered|notRun|unknown)$/'; }
-cut_streams() { ledger '$1 == "cut"' | grep -vwFf <(cat "$run/killed" 2>/dev/null; echo nothing-was-killed) || true; }
+# cut_streams prints those whose server was not killed while they lasted; the
+# second allowed for is the resolution of the times.
+cut_streams() {
+  touch "$run/killed"
+  awk 'FILENAME == ARGV[1] { n++; server[n] = $1; at[n] = $2; next }
+    $1 == "cut" {
+      sub(/"/, "", $NF)
+      for (i = 1; i <= n; i++) if (server[i] == $3 && at[i] >= $(NF - 2) - 1 && at[i] <= $NF) next
+      print
+    }' "$run/killed" "$run/caller.ledger"
+}
 count() { ledger "$1" | grep -c '' || true; }
--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -33,7 +33,7 @@
 		v.record(outcomeRefused, "-", "", server)
 		return v.tolerate(c, balsampier.NewError(balsampier.KindNotRun, "read stream", "see the status", errors.New(a.Status)))
 	}
-	n := 0
+	n, began := 0, v.Clock.Now()
 	s := bufio.NewScanner(a.Body)
 	for s.Scan() {
 		n++
@@ -42,11 +42,12 @@
 			return balsampier.NewError(balsampier.KindCorrupt, "read stream", "a line is missing or of another stream", fmt.Errorf("line %d is %q", n, s.Text()))
 		}
 	}
+	span := fmt.Sprintf("%d lines from %d to %d", n, began.Unix(), v.Clock.Now().Unix())
 	if err := s.Err(); err != nil {
-		v.record(outcomeCut, "-", fmt.Sprintf("%d lines", n), server)
+		v.record(outcomeCut, "-", span, server)
 		return v.tolerate(c, trace.Wrap(err, "the stream broke after %d lines", n))
 	}
-	v.record(outcomeWhole, "-", fmt.Sprintf("%d lines", n), server)
+	v.record(outcomeWhole, "-", span, server)
 	v.print(fmt.Sprintf("stream whole: %d lines\n", n))
 	return nil
 }
