--- a/soak/faults.sh
+++ b/soak/faults.sh
@@ -123,6 +123,15 @@
   sleep 3
 }
 
+# backend_killed kills the backend server alone; its agent lives on.
+backend_killed() {
+  note_killed backend-2
+  stop backend-2 KILL
+  sleep 2
+  start_backend 2 reservas
+  sleep 2
+}
+
 server_killed() {
   note_killed backend-2
   stop agent-2 KILL
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -22,7 +22,7 @@
 if [ ${#faults[@]} = 0 ]; then
   mapfile -t faults < <(printf '%s\n' leader_killed leader_frozen disk_lost_then_second_killed \
     cut_off_while_balancer_starts balancer_1_killed balancer_2_killed balancer_frozen balancer_stopped \
-    agent_frozen agent_stopped agent_killed server_killed server_drained several_at_once | shuf --random-source=<(yes "$seed"))
+    agent_frozen agent_stopped agent_killed backend_killed server_killed server_drained several_at_once | shuf --random-source=<(yes "$seed"))
 fi
 
 echo "seed $seed: three control instances, two balancers, four agents; faults: ${faults[*]}"
