--- a/cmd/control/app/fleet_test.go
+++ b/cmd/control/app/fleet_test.go
@@ -127,12 +127,12 @@
 }
 
 func pass(c context.Context, n net.Conn, a netip.AddrPort, cuts []*atomic.Bool) {
-	defer n.Close()
+	defer func() { _ = n.Close() }()
 	m, err := net.Dial("tcp", a.String())
 	if err != nil {
 		return
 	}
-	defer m.Close()
+	defer func() { _ = m.Close() }()
 	stop := context.AfterFunc(c, func() { _ = n.Close(); _ = m.Close() })
 	defer stop()
 	var w sync.WaitGroup
@@ -142,7 +142,7 @@
 }
 
 func copyUncut(c context.Context, to, from net.Conn, cuts []*atomic.Bool) {
-	defer to.Close()
+	defer func() { _ = to.Close() }()
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -194,8 +194,8 @@
 			v.record(o, k.String(), body, a.server)
 			return v.check(a.body, body)
 		}
-		if o == outcomeUnknown || i >= v.Resends || ended(c) {
-			if lost || ended(c) {
+		if o == outcomeUnknown || i >= v.Resends || c.Err() != nil {
+			if lost {
 				o = outcomeUnknown
 			}
 			v.record(o, k.String(), body, "")
@@ -205,8 +205,6 @@
 	}
 }
 
-func ended(c context.Context) bool { return c.Err() != nil }
-
 // try makes one attempt and tells how it ended.
 func (v *one) try(c context.Context, body, key string) (answer, outcome) {
 	a, err := v.do(c, body, key)
