--- a/soak/load.sh
+++ b/soak/load.sh
@@ -7,6 +7,7 @@
 submissions=$run/submissions
 submission_ledger=$run/submission.ledger
 mkdir -p "$submissions"
+touch "$submission_ledger"
 
 running() { [ ! -e "$run/ended" ]; }
 
@@ -68,7 +69,7 @@
 
 # accepted prints "REVISION BASE NAME" for every accepted submission.
 accepted() { sed -n 's/^accepted //p' "$submission_ledger" | sort -n; }
-newest() { accepted | tail -1 | cut -d' ' -f1; }
+newest() { accepted | awk '{ n = $1 } END { print n + 0 }'; }
 
 # poll NAME URL notes "NAME INCARNATION READY REVISION EPOCH" again and again.
 poll() {
