test: hold placement, envelopes and the demo's drain to their promises

A generation began when the memory was next looked at; it now begins when the one before ended.

The demo calls reservas with 200 callers at once and asks that neither of two servers gets more than 1.1 times the mean; it drains one server under ten streams and asks that 2 s later no new request reaches it, that the streams end whole, and that it gets callers again after the drain.

Reply routes are bounded, and a closed transport is no fault of an endpoint.

--- a/caller/endpoint.go
+++ b/caller/endpoint.go
@@ -114,7 +114,7 @@
 func (e *Endpoint) Serve() error {
 	for {
 		q, err := e.listener.Accept(context.Background())
-		if errors.Is(err, quic.ErrServerClosed) {
+		if errors.Is(err, quic.ErrServerClosed) || errors.Is(err, quic.ErrTransportClosed) {
 			return nil
 		}
 		if err != nil {
--- a/cmd/agent/app/routes.go
+++ b/cmd/agent/app/routes.go
@@ -16,6 +16,9 @@
 	// routeRotation is how often routes that were not used are forgotten;
 	// it is longer than the period of keep-alive packets.
 	routeRotation = time.Minute
+
+	// maxRoutes bounds each generation of routes.
+	maxRoutes = 1 << 16
 )
 
 type (
@@ -49,7 +52,7 @@
 	v := r.find(c, t)
 	if v == nil {
 		v = &route{}
-		r.recent[c] = v
+		r.keep(c, v, t)
 	}
 	v.balancer, v.heard = b, t
 }
@@ -79,7 +82,7 @@
 // find is called with mu held.
 func (r *routes) find(c netip.AddrPort, t time.Time) *route {
 	if t.Sub(r.rotated) > routeRotation {
-		r.before, r.recent, r.rotated = r.recent, make(map[netip.AddrPort]*route), t
+		r.rotate(t)
 	}
 	if v, ok := r.recent[c]; ok {
 		return v
@@ -89,6 +92,18 @@
 		return nil
 	}
 	delete(r.before, c)
-	r.recent[c] = v
+	r.keep(c, v, t)
 	return v
 }
+
+// keep is called with mu held.
+func (r *routes) keep(c netip.AddrPort, v *route, t time.Time) {
+	if len(r.recent) >= maxRoutes {
+		r.rotate(t)
+	}
+	r.recent[c] = v
+}
+
+func (r *routes) rotate(t time.Time) {
+	r.before, r.recent, r.rotated = r.recent, make(map[netip.AddrPort]*route), t
+}
--- a/command/place/recent.go
+++ b/command/place/recent.go
@@ -56,13 +56,15 @@
 // Len returns how many flows are remembered.
 func (r *Recent) Len() int { return len(r.young) + len(r.old) }
 
+// expire ends generations by when they began, not by when they were last
+// looked at, so that a flow lasts for two of them at most.
 func (r *Recent) expire(t time.Time) {
 	switch d := t.Sub(r.turned); {
 	case d >= 2*r.keep:
 		r.turn(t)
 		r.old = nil
 	case d >= r.keep:
-		r.turn(t)
+		r.turn(r.turned.Add(r.keep))
 	}
 }
 
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -45,6 +45,23 @@
 check "200 holds by 20 callers run once each" call --keyed --method POST --callers 20 --count 10 --body hold --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
 ran_once() { [ "$(grep -c '"hold' "$run/backend.ledger")" = 200 ] && [ -z "$(grep '"hold' "$run/backend.ledger" | awk '{print $4}' | sort | uniq -d)" ]; }
 check "the backend servers' ledger agrees" ran_once
+ran_at() { awk -v s="$1" -v b="\"$2" '$1 == s && index($5, b) == 1' "$run/backend.ledger" | wc -l; } # SERVER BODY
+check "200 callers call reservas at once" call --keyed --method POST --callers 200 --body even --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
+even() { local a b; a=$(ran_at backend-1 even) b=$(ran_at backend-2 even); echo "$a and $b"; [ $((a + b)) = 200 ] && [ "$a" -le 110 ] && [ "$b" -le 110 ]; }
+check "neither server gets more than 1.1 times the mean" even
+
+announce_drain() { exec 3<>/dev/tcp/127.0.2.2/9000; printf 'POST /drain%s HTTP/1.0\r\n\r\n' "$1" >&3; grep -q 204 <&3; exec 3>&-; }
+start drained "$bin/standin" caller --ca "$run/cert.pem" --stream --callers 10 "https://127.0.0.1:8443/stream?lines=70"
+sleep 1
+check "a server announces that it drains" announce_drain ''
+sleep 2
+check "2 s later, 50 callers are served" call --keyed --method POST --callers 50 --body drained --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
+check "none of them by the draining server" expect "0 50" eval 'echo "$(ran_at backend-2 drained) $(ran_at backend-1 drained)"'
+check "10 streams over both servers end whole" wait "${pids[drained]}"
+unset "pids[drained]"
+check "the server announces that it drains no more" announce_drain '?end=1'
+again() { call --keyed --method POST --callers 10 --body again --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds && [ "$(ran_at backend-2 again)" -gt 0 ]; }
+check "it gets new callers again" eventually 10 again
 refused() { { call --timeout 3s https://127.0.0.1:8445/ 2>&1 || true; } | grep CONNECTION_REFUSED; }
 check "where no rule is in force, the connection is refused" refused
 
