--- /dev/null
+++ b/caller/endpoint_test.go
@@ -0,0 +1,248 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/caller"
+	"github.com/balsampier/balsampier/clock"
+)
+
+// patience bounds tests that hang; nothing is measured against it.
+const patience = 20 * time.Second
+
+type site struct {
+	*caller.Endpoint
+	conn *net.UDPConn
+	dir  string
+	pool *x509.CertPool
+	// next lets /stream write a line and go on.
+	next chan string
+}
+
+// newSite serves over a socket that stands for fabric, balancer and agent.
+func newSite(c *qt.C, k balsampier.Clock) *site {
+	s := &site{dir: c.TempDir(), pool: x509.NewCertPool(), next: make(chan string)}
+	s.certify(c, 1, time.Unix(1, 0))
+	cert, err := caller.LoadCertificate(filepath.Join(s.dir, "cert.pem"), filepath.Join(s.dir, "key.pem"), k)
+	c.Assert(err, qt.IsNil)
+	s.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	c.Assert(err, qt.IsNil)
+	codec, err := caller.NewIDCodec([]byte("a key for tests"))
+	c.Assert(err, qt.IsNil)
+	m := http.NewServeMux()
+	m.HandleFunc("/stream", func(w http.ResponseWriter, r *http.Request) {
+		for {
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case l, ok := <-s.next:
+				if !ok {
+					return
+				}
+				_, _ = fmt.Fprintln(w, l)
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	m.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	s.Endpoint, err = caller.NewEndpoint(caller.Options{
+		ServiceAddr: s.addr(), Holder: balsampier.Holder{Instance: 1, Incarnation: 1}, Codec: codec, Key: []byte("a key for tests"),
+		TLS: cert.Config(), Accept: func(netip.AddrPort) error { return nil }, Handler: m, Count: new(atomic.Uint32), Clock: clock.System{},
+		Send: func(p []byte, to netip.AddrPort) error {
+			_, err := s.conn.WriteToUDPAddrPort(p, to)
+			return err
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	go func() { _ = s.Serve() }()
+	go func() {
+		for {
+			b := make([]byte, 2048)
+			n, a, err := s.conn.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			_ = s.Deliver(context.Background(), b[:n], a)
+		}
+	}()
+	c.Cleanup(func() { _, _ = s.Close(), s.conn.Close() })
+	return s
+}
+
+func (s *site) addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// certify writes a new pair of files that seem changed at t.
+func (s *site) certify(c *qt.C, serial int64, t time.Time) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c.Assert(err, qt.IsNil)
+	v := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"}, DNSNames: []string{"service"},
+		NotBefore: time.Unix(0, 0), NotAfter: time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC), IsCA: true, BasicConstraintsValid: true,
+	}
+	d, err := x509.CreateCertificate(rand.Reader, v, v, &k.PublicKey, k)
+	c.Assert(err, qt.IsNil)
+	p, err := x509.MarshalPKCS8PrivateKey(k)
+	c.Assert(err, qt.IsNil)
+	s.pool.AppendCertsFromPEM(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: d}))
+	for name, b := range map[string]*pem.Block{"cert.pem": {Type: "CERTIFICATE", Bytes: d}, "key.pem": {Type: "PRIVATE KEY", Bytes: p}} {
+		f := filepath.Join(s.dir, name)
+		c.Assert(os.WriteFile(f, pem.EncodeToMemory(b), 0o600), qt.IsNil)
+		c.Assert(os.Chtimes(f, t, t), qt.IsNil)
+	}
+}
+
+// dial opens a connection that does nothing by itself.
+func (s *site) dial(c *qt.C) *quic.Conn {
+	q, err := quic.DialAddr(context.Background(), s.addr().String(), &tls.Config{
+		RootCAs: s.pool, ServerName: "service", NextProtos: []string{http3.NextProtoH3}, MinVersion: tls.VersionTLS13,
+	}, &quic.Config{InitialPacketSize: 1200})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = q.CloseWithError(0, "") })
+	return q
+}
+
+// client has a connection of its own; ended is closed with it.
+func (s *site) client(c *qt.C) (h *http.Client, ended <-chan struct{}) {
+	q := s.dial(c)
+	return &http.Client{Transport: (&http3.Transport{}).NewClientConn(q)}, q.Context().Done()
+}
+
+// get returns the answer, and the serial number of the server's certificate.
+func get(c *qt.C, h *http.Client, path string) (body io.Reader, serial int64) {
+	x, cancel := context.WithTimeout(context.Background(), patience)
+	c.Cleanup(cancel)
+	r, err := http.NewRequestWithContext(x, http.MethodGet, "https://service"+path, nil)
+	c.Assert(err, qt.IsNil)
+	a, err := h.Do(r)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = a.Body.Close() })
+	return a.Body, a.TLS.PeerCertificates[0].SerialNumber.Int64()
+}
+
+func answer(c *qt.C, h *http.Client) (body string, serial int64) {
+	r, serial := get(c, h, "/")
+	b, err := io.ReadAll(r)
+	c.Assert(err, qt.IsNil)
+	return string(b), serial
+}
+
+func within(c *qt.C, done <-chan struct{}, what string) {
+	select {
+	case <-done:
+	case <-time.After(patience):
+		c.Fatal(what)
+	}
+}
+
+// TestTurnAway checks that a turn-away closes idle connections, also those of
+// callers that don't listen, and refuses
+// requests on old ones, that running answers come whole, that later
+// connections are served, and that Shutdown waits for what still runs.
+func TestTurnAway(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, clock.System{})
+	idle, idleEnded := s.client(c)
+	_, _ = answer(c, idle)
+	deaf := s.dial(c)
+	busy, busyEnded := s.client(c)
+	stream, _ := get(c, busy, "/stream")
+	lines := bufio.NewScanner(stream)
+	line := func(l string) {
+		select {
+		case s.next <- l:
+		case <-time.After(patience):
+			c.Fatalf("the stream ended before line %q", l)
+		}
+		c.Assert(lines.Scan(), qt.IsTrue)
+		c.Assert(lines.Text(), qt.Equals, l)
+	}
+	line("before")
+	s.TurnAway(context.Background())
+	within(c, idleEnded, "the idle connection stays")
+	within(c, deaf.Context().Done(), "the connection of a caller that ignores the word stays")
+	line("while")
+
+	late, _ := s.client(c)
+	body, _ := answer(c, late)
+	c.Assert(body, qt.Equals, "whole")
+	a, err := busy.Get("https://service/")
+	if err == nil {
+		_ = a.Body.Close()
+	}
+	c.Assert(err, qt.IsNotNil, qt.Commentf("a connection that was turned away takes a request"))
+	line("after")
+	c.Assert(s.Connections(), qt.Equals, 2)
+
+	down := make(chan struct{})
+	go func() {
+		defer close(down)
+		_ = s.Shutdown(context.Background())
+	}()
+	line("in the shutdown")
+	select {
+	case <-down:
+		c.Fatal("the shutdown did not wait for the stream")
+	default:
+	}
+	close(s.next)
+	c.Assert(lines.Scan(), qt.IsFalse)
+	c.Assert(lines.Err(), qt.IsNil)
+	within(c, busyEnded, "the connection stays after its last answer")
+	within(c, down, "the shutdown does not end")
+	c.Assert(s.Connections(), qt.Equals, 0)
+}
+
+// TestCertificate checks that a new pair of files is shown to new connections
+// while old ones go on, and that half a pair changes nothing.
+func TestCertificate(t *testing.T) {
+	c := qt.New(t)
+	k := clock.NewFake(time.Unix(1000, 0))
+	s := newSite(c, k)
+	old, _ := s.client(c)
+	_, serial := answer(c, old)
+	c.Assert(serial, qt.Equals, int64(1))
+
+	key, err := os.ReadFile(filepath.Join(s.dir, "key.pem"))
+	c.Assert(err, qt.IsNil)
+	s.certify(c, 2, time.Unix(2, 0))
+	whole, err := os.ReadFile(filepath.Join(s.dir, "key.pem"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(os.WriteFile(filepath.Join(s.dir, "key.pem"), key, 0o600), qt.IsNil)
+	k.Advance(time.Minute)
+	half, _ := s.client(c)
+	_, serial = answer(c, half)
+	c.Assert(serial, qt.Equals, int64(1))
+
+	c.Assert(os.WriteFile(filepath.Join(s.dir, "key.pem"), whole, 0o600), qt.IsNil)
+	k.Advance(time.Minute)
+	fresh, _ := s.client(c)
+	_, serial = answer(c, fresh)
+	c.Assert(serial, qt.Equals, int64(2))
+	body, serial := answer(c, old)
+	c.Assert(body, qt.Equals, "whole")
+	c.Assert(serial, qt.Equals, int64(1))
+}
