--- a/operator/loglevel.go
+++ b/operator/loglevel.go
@@ -33,7 +33,7 @@
 			return
 		}
 		g.SetLevel(log.ParseLevel(b.Level))
-		g.WithLevel(log.InfoLevel).Str("level", b.Level).Msg("log level set")
+		g.WithLevel(log.InfoLevel).Str("logLevel", b.Level).Msg("log level set")
 		WriteJSON(w, http.StatusOK, b)
 	}, http.MethodPut)
 	return s
