--- a/cmd/balsampier/cmd/session_test.go
+++ b/cmd/balsampier/cmd/session_test.go
@@ -180,9 +180,14 @@
 var source, _ = os.Getwd()
 
 func (s *session) do(p step) {
-	switch {
-	case p.run != "":
+	if p.run != "" {
 		s.run(p.run)
+		return
+	}
+	// A call that its client gave up may still be under way.
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	switch {
 	case p.file != "":
 		s.c.Assert(os.WriteFile(p.file, []byte(p.text), filePerm), qt.IsNil)
 		fmt.Fprintf(&s.out, "[%s is edited: %d lines]\n\n", p.file, strings.Count(p.text, "\n"))
