--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -57,14 +57,16 @@
 
 		packets   *ring.Ring[fabric.Datagram]
 		envelopes *ring.Ring[envelope]
-		answers   *ring.Ring[[]byte]
+		answers   *ring.Ring[envelope]
 		counters  counters
 	}
 
-	// envelope is one sealed envelope on its way to an agent.
+	// envelope is one sealed envelope on its way to or from an agent.
 	envelope struct {
 		to netip.AddrPort
-		b  []byte
+		// b lies in buf, which is given back once b was used.
+		b   []byte
+		buf *buffer
 	}
 )
 
@@ -105,7 +107,7 @@
 		refusers:  make(map[netip.AddrPort]*caller.Endpoint),
 		packets:   ring.New[fabric.Datagram]("packets", s.RingDepth, ring.DropNewest),
 		envelopes: ring.New[envelope]("envelopes", s.RingDepth, ring.DropNewest),
-		answers:   ring.New[[]byte]("answers", s.RingDepth, ring.DropNewest),
+		answers:   ring.New[envelope]("answers", s.RingDepth, ring.DropNewest),
 		member: balsampier.Member{
 			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleBalancer,
 			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre, Addr: s.PeerAddr,
--- a/cmd/balancer/app/steer.go
+++ b/cmd/balancer/app/steer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -12,6 +13,13 @@
 	"github.com/balsampier/balsampier/peer"
 )
 
+// buffer has room for any envelope.
+type buffer [peer.MaxEnvelopeBytes]byte
+
+// buffers are given back by whoever took an envelope from a ring. Those of
+// envelopes that a full ring drops are left to the collector.
+var buffers = sync.Pool{New: func() any { return new(buffer) }}
+
 // steer decides on each packet and hands it on.
 func (b *Balancer) steer(c context.Context) error {
 	var ds [batchSize]fabric.Datagram
@@ -58,13 +66,14 @@
 		Revision: v.Revision, Epoch: v.Epoch, Incarnation: v.Target.Incarnation, Hops: 1,
 		Opening: p.Opening, Flow: p.Flow, Payload: payload,
 	}
-	o, err := b.sealer.Seal(make([]byte, 0, peer.MaxEnvelopeBytes), &e)
+	f := buffers.Get().(*buffer)
+	o, err := b.sealer.Seal(f[:0], &e)
 	if err != nil {
 		b.counters.drop("encode")
 		return
 	}
 	b.counters.forwarded.Inc()
-	_ = b.envelopes.Push(c, envelope{to: v.Addr, b: o})
+	_ = b.envelopes.Push(c, envelope{to: v.Addr, b: o, buf: f})
 }
 
 func (b *Balancer) sendEnvelopes(c context.Context) error {
@@ -74,10 +83,12 @@
 		if err != nil {
 			return err
 		}
-		for _, e := range es[:n] {
+		for i, e := range es[:n] {
 			if _, err := b.peers.WriteToUDPAddrPort(e.b, e.to); err != nil {
 				b.counters.drop("send")
 			}
+			es[i] = envelope{}
+			buffers.Put(e.buf)
 		}
 	}
 }
@@ -86,29 +97,31 @@
 	stop := context.AfterFunc(c, func() { _ = b.peers.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	for {
-		o := make([]byte, peer.MaxEnvelopeBytes)
-		n, _, err := b.peers.ReadFromUDPAddrPort(o)
+		f := buffers.Get().(*buffer)
+		n, _, err := b.peers.ReadFromUDPAddrPort(f[:])
 		if c.Err() != nil {
 			return c.Err()
 		}
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if err := b.answers.Push(c, o[:n]); err != nil {
+		if err := b.answers.Push(c, envelope{b: f[:n], buf: f}); err != nil {
 			return err
 		}
 	}
 }
 
 func (b *Balancer) sendAnswers(c context.Context) error {
-	var as [batchSize][]byte
+	var as [batchSize]envelope
 	for {
 		n, err := b.answers.Pop(c, as[:])
 		if err != nil {
 			return err
 		}
-		for _, a := range as[:n] {
-			b.answer(a)
+		for i, a := range as[:n] {
+			b.answer(a.b)
+			as[i] = envelope{}
+			buffers.Put(a.buf)
 		}
 	}
 }
