--- a/command/eject/eject_test.go
+++ b/command/eject/eject_test.go
@@ -75,3 +75,38 @@
 		}
 	})
 }
+
+// TestLearn checks that servers that other instances keep away count towards
+// the bound, and no more once they are back or gone.
+func TestLearn(t *testing.T) {
+	at := time.Date(2027, 3, 1, 12, 0, 0, 0, time.UTC)
+	failing := loadview.Observed{FailedInTurn: 100, Failed: 100}
+	all := func(balsampier.InstanceID) bool { return true }
+	tests := []struct {
+		name  string
+		n     int
+		learn map[balsampier.InstanceID]bool
+		alive func(balsampier.InstanceID) bool
+		want  eject.State
+	}{
+		{"two", 2, nil, all, eject.In},
+		{"three", 3, nil, all, eject.Out},
+		{"threeOneAway", 3, map[balsampier.InstanceID]bool{2: true}, all, eject.In},
+		{"threeOneBack", 3, map[balsampier.InstanceID]bool{2: false}, all, eject.Out},
+		{"threeOneGone", 3, map[balsampier.InstanceID]bool{2: true}, func(i balsampier.InstanceID) bool { return i != 2 }, eject.Out},
+		{"sixOneAway", 6, map[balsampier.InstanceID]bool{2: true, 3: false}, all, eject.Out},
+		{"sixTwoAway", 6, map[balsampier.InstanceID]bool{2: true, 3: true}, all, eject.In},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := eject.New(eject.DefaultSettings())
+			for i, away := range tt.learn {
+				e.Learn(i, away)
+			}
+			e.Forget(tt.alive)
+			if got := e.Observe(1, failing, tt.n, at); got != tt.want {
+				t.Fatalf("got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
