test: kill a backend server beside a living agent in the demo

50 callers are served while one of two servers is dead, each request runs once at the other, and the server gets callers again once it is back.

--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -62,6 +62,12 @@
 check "the server announces that it drains no more" announce_drain '?end=1'
 again() { call --keyed --method POST --callers 10 --body again --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds && [ "$(ran_at backend-2 again)" -gt 0 ]; }
 check "it gets new callers again" eventually 10 again
+stop backend-2 KILL
+check "a server dies, and 50 callers are served" call --keyed --method POST --callers 50 --count 2 --body dead --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
+check "all of them once, by the other server" expect "0 100" eval 'echo "$(ran_at backend-2 dead) $(ran_at backend-1 dead)"'
+start_backend 2 reservas
+alive() { call --keyed --method POST --callers 10 --body alive --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds && [ "$(ran_at backend-2 alive)" -gt 0 ]; }
+check "it gets callers again once it is back" eventually 10 alive
 refused() { { call --timeout 3s https://127.0.0.1:8445/ 2>&1 || true; } | grep CONNECTION_REFUSED; }
 check "where no rule is in force, the connection is refused" refused
 
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -130,6 +130,10 @@
 start_agent() { # N SERVICE
   agent_settings "$1"
   start "agent-$1" "$bin/agent" run --config "$run/agent-$1.yaml"
+  start_backend "$1" "$2"
+}
+
+start_backend() { # N SERVICE
   start "backend-$1" "$bin/standin" backend --name "backend-$1" --service "$2" --address "127.0.2.$1:9000" \
     --agent "127.0.2.$1:7200" --slots 5 --ledger "$run/backend.ledger" --work "${work:-2ms}"
 }
