fix: reset the stream of an answer that the backend server broke off

A chunked answer that broke off reached the caller as a whole one. The reverse proxy panics on such an answer only if the context names an http.Server; the HTTP/3 server sets a key of its own, so that the panic was suppressed. Ruled out: the HTTP/3 server itself, which resets the stream on a panic.

--- a/backend/proxy.go
+++ b/backend/proxy.go
@@ -53,6 +53,9 @@
 	}
 )
 
+// recovers stands for the server that recovers from panics.
+var recovers = new(http.Server)
+
 // NewProxy returns a proxy to the backend server at a.
 func NewProxy(a netip.AddrPort) *Proxy {
 	p := &Proxy{addr: a}
@@ -106,7 +109,12 @@
 			failed = a.classify(err)
 		},
 	}
-	v.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), attemptKey{}, a)))
+	c := context.WithValue(r.Context(), attemptKey{}, a)
+	// The reverse proxy ends a broken answer as if it were whole unless it
+	// knows a server that recovers from its panic. HTTP/3 does, and resets the
+	// stream, but names its server by another key.
+	c = context.WithValue(c, http.ServerContextKey, recovers)
+	v.ServeHTTP(w, r.WithContext(c))
 	whole = true
 	return failed
 }
--- a/caller/endpoint_test.go
+++ b/caller/endpoint_test.go
@@ -68,6 +68,11 @@
 			}
 		}
 	})
+	m.HandleFunc("/broken", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
 	m.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
 	s.Endpoint, err = caller.NewEndpoint(caller.Options{
 		ServiceAddr: s.addr(), Holder: balsampier.Holder{Instance: 1, Incarnation: 1}, Codec: codec, Key: []byte("a key for tests"),
@@ -150,6 +155,17 @@
 	return string(b), serial
 }
 
+// fetch returns nil when the answer came whole.
+func fetch(h *http.Client, path string) error {
+	a, err := h.Get("https://service" + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	_, err = io.ReadAll(a.Body)
+	return err
+}
+
 func within(c *qt.C, done <-chan struct{}, what string) {
 	select {
 	case <-done:
@@ -181,6 +197,7 @@
 		c.Assert(lines.Text(), qt.Equals, l)
 	}
 	line("before")
+	c.Assert(fetch(busy, "/broken"), qt.IsNotNil, qt.Commentf("half an answer seems whole"))
 	s.TurnAway(context.Background())
 	within(c, idleEnded, "the idle connection stays")
 	within(c, deaf.Context().Done(), "the connection of a caller that ignores the word stays")
@@ -189,11 +206,7 @@
 	late, _ := s.client(c)
 	body, _ := answer(c, late)
 	c.Assert(body, qt.Equals, "whole")
-	a, err := busy.Get("https://service/")
-	if err == nil {
-		_ = a.Body.Close()
-	}
-	c.Assert(err, qt.IsNotNil, qt.Commentf("a connection that was turned away takes a request"))
+	c.Assert(fetch(busy, "/"), qt.IsNotNil, qt.Commentf("a connection that was turned away takes a request"))
 	line("after")
 	c.Assert(s.Connections(), qt.Equals, 2)
 
