--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -32,6 +32,11 @@
 check "members announce themselves" eventually 10 in_force 0 6
 check "the rule file is accepted" operate submit "$run/rules.txt"
 check "it is in force on every balancer and agent" eventually 10 in_force 1 6
+# knows N AGENTS is true when balancer N is ready and has that many agents in
+# its view: rules and views come into force one after the other.
+knows() { operate dump "http://127.0.1.$1:7100" | grep -q "\"agents\": $2,"; }
+all_known() { knows 1 4 && knows 2 4; }
+check "every balancer knows all agents" eventually 10 all_known
 
 expect() { # TEXT COMMAND... succeeds when the output is TEXT
   local want=$1 got
@@ -73,6 +78,12 @@
 check "the server announces that it drains no more" announce_drain '?end=1'
 comes_back() { call --keyed --method POST --callers 10 --body again --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds && [ "$(ran_at backend-2 again)" -gt 0 ]; }
 check "it gets new callers again" eventually 10 comes_back
+stop backend-2 KILL
+check "a server dies, and 50 callers are served" call --keyed --method POST --callers 50 --count 2 --body dead --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
+check "all of them once, by the other server" expect "0 100" eval 'echo "$(ran_at backend-2 dead) $(ran_at backend-1 dead)"'
+start_backend 2 reservas
+alive() { call --keyed --method POST --callers 10 --body alive --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds && [ "$(ran_at backend-2 alive)" -gt 0 ]; }
+check "it gets callers again once it is back" eventually 10 alive
 refused() { { call --timeout 3s https://127.0.0.1:8445/ 2>&1 || true; } | grep CONNECTION_REFUSED; }
 check "where no rule is in force, the connection is refused" refused
 
