fix: let a resend claim again at the agent that released its claim

Cause: make demo, 'all of them once, by the other server': 50 of 100 holds got unknown (answerNotKept). Their first send met an agent whose backend server had died; it refused them as notRun and released the claim. The resend at the same agent was a new request of the same runner, and a holder took any record of an earlier attempt of that runner for a run under way, released or not. Ruled out: lost releases (the holders' tables had them), the proxy's classification. Change: an earlier attempt blocks only while it is not released; a later one and the released attempt itself still block late messages. Conclusion: honest before, and now also served.

--- a/command/claim/holder.go
+++ b/command/claim/holder.go
@@ -120,8 +120,12 @@
 	if r.runner != c.Runner {
 		return !r.released
 	}
-	if r.attempt > c.Attempt || r.attempt < c.Since {
+	switch {
+	case r.attempt > c.Attempt:
 		return true
+	case r.attempt < c.Since:
+		// An earlier request with the key may run unless it was withdrawn.
+		return !r.released
 	}
 	return r.released && r.attempt == c.Attempt
 }
--- a/command/claim/holder_test.go
+++ b/command/claim/holder_test.go
@@ -42,6 +42,8 @@
 		{"lateAttempt", []claim.Claim{made(one, 1, 2)}, nil, made(one, 1, 1), 0, claim.DecisionHeld},
 		{"released", []claim.Claim{made(one, 1, 1)}, []claim.Release{{k, one, 1, 1}}, made(two, 1, 1), 0, claim.DecisionGranted},
 		{"lateAfterRelease", []claim.Claim{made(one, 1, 1)}, []claim.Release{{k, one, 1, 1}}, made(one, 1, 1), 0, claim.DecisionHeld},
+		{"resendAfterRelease", []claim.Claim{made(one, 1, 1)}, []claim.Release{{k, one, 1, 1}}, made(one, 2, 2), 0, claim.DecisionGranted},
+		{"olderAfterRelease", []claim.Claim{made(one, 2, 2)}, []claim.Release{{k, one, 2, 2}}, made(one, 1, 1), 0, claim.DecisionHeld},
 		{"releaseOfOtherRunner", []claim.Claim{made(one, 1, 1)}, []claim.Release{{k, two, 1, 1}}, made(two, 1, 1), 0, claim.DecisionHeld},
 		{"lateRelease", []claim.Claim{made(one, 2, 2)}, []claim.Release{{k, one, 1, 1}}, made(two, 1, 1), 0, claim.DecisionHeld},
 		{"probeAbsent", nil, nil, claim.Claim{Epoch: 1, Key: k, Runner: two, Since: 1, Attempt: 1, Probe: true}, 0, claim.DecisionAbsent},
