refactor: let make start the callers of the connections bench

Cause: the bench started its callers as a process of its own; no program of the project starts another one. Change: bench callers listens, make bench runs it beside the bench and ends it by its id.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	@for m in $(filter-out .,$(MODULES)); do (cd $$m && go build -o $(CURDIR)/bin/ ./...) || exit 1; done
 
 bench: build
-	@bin/bench
+	@bin/bench callers & callers=$$!; bin/bench $(BENCH); code=$$?; kill $$callers; exit $$code
 
 demo: build
 	@bash demo/demo.sh
--- a/cmd/bench/cmd/root.go
+++ b/cmd/bench/cmd/root.go
@@ -5,8 +5,12 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
+	"os/signal"
+	"slices"
 	"strings"
+	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
@@ -23,14 +27,19 @@
 	"github.com/balsampier/balsampier/cmd/bench/watching"
 )
 
-// defaultSeed makes runs repeatable but for what is timed.
-const defaultSeed = 1
+const (
+	// defaultSeed makes runs repeatable but for what is timed.
+	defaultSeed    = 1
+	defaultCallers = "127.0.4.1:7300"
+)
 
 type (
 	// options are the flags.
 	options struct {
 		seed uint64
 		only string
+		// callers is the address of the process that plays callers.
+		callers string
 	}
 
 	// group is a set of measures that run together.
@@ -50,9 +59,6 @@
 	{"balancer", timed(watching.RunBalancers)},
 	{"agent", timed(watching.RunAgents)},
 	{"streams", timed(watching.RunStreams)},
-	{"connections", func(c context.Context, w io.Writer, _ uint64) error {
-		return connections.Run(c, w, clock.System{})
-	}},
 }
 
 // Execute runs the command line.
@@ -60,13 +66,14 @@
 	var o options
 	c := &cobra.Command{
 		Use: "bench", Short: "Measure the bounds of the design, one line a measure", Args: cobra.NoArgs,
-		Long:         "Measure the bounds of the design, one line a measure.\n\nGroups: " + strings.Join(names(groups), ", ") + ".",
+		Long:         "Measure the bounds of the design, one line a measure.\n\nGroups: " + strings.Join(names(o.groups()), ", ") + ".",
 		Example:      "  bench\n  bench --only control --seed 7",
 		SilenceUsage: true, SilenceErrors: true,
-		RunE: func(c *cobra.Command, _ []string) error { return o.run(c.Context(), c.OutOrStdout(), groups) },
+		RunE: func(c *cobra.Command, _ []string) error { return o.run(c.Context(), c.OutOrStdout(), o.groups()) },
 	}
 	c.Flags().Uint64Var(&o.seed, "seed", defaultSeed, "seed of the simulated runs")
 	c.Flags().StringVar(&o.only, "only", "", "group to run; all by default")
+	c.Flags().StringVar(&o.callers, "callers", defaultCallers, "`address` at which bench callers listens")
 	c.AddCommand(callersCommand())
 	return c.ExecuteContext(context.Background())
 }
@@ -99,20 +106,35 @@
 	return trace.Wrap(err)
 }
 
-// callersCommand plays the callers of the connections group in a process of
-// their own.
+// groups are those of the list and the one that needs callers.
+func (o options) groups() []group {
+	return append(slices.Clone(groups), group{"connections", func(c context.Context, w io.Writer, _ uint64) error {
+		a, err := netip.ParseAddrPort(o.callers)
+		if err != nil {
+			return balsampier.NewError(balsampier.KindInvalid, "read --callers", "write address:port", err)
+		}
+		return connections.Run(c, w, clock.System{}, a)
+	}})
+}
+
+// callersCommand plays the callers of the connections group, so that the
+// memory of the other process is that of the service alone.
 func callersCommand() *cobra.Command {
-	var o connections.Options
+	var listen string
 	c := &cobra.Command{
-		Use: connections.CallersCommand, Short: "Play callers", Args: cobra.NoArgs, Hidden: true,
+		Use: connections.CallersCommand, Short: "Play the callers of the connections group until SIGTERM", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(c *cobra.Command, _ []string) error {
-			return connections.Call(c.Context(), o, c.InOrStdin(), c.OutOrStdout())
+			a, err := netip.ParseAddrPort(listen)
+			if err != nil {
+				return balsampier.NewError(balsampier.KindInvalid, "read --listen", "write address:port", err)
+			}
+			x, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return connections.Serve(x, a)
 		},
 	}
-	c.Flags().StringVar(&o.Addr, "to", "", "address to call")
-	c.Flags().StringVar(&o.CAFile, "ca", "", "certificate of the service")
-	c.Flags().IntVar(&o.Count, "count", 1, "number of connections")
+	c.Flags().StringVar(&listen, "listen", defaultCallers, "`address` to listen at")
 	return c
 }
 
--- a/cmd/bench/connections/callers.go
+++ b/cmd/bench/connections/callers.go
@@ -3,17 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
-	"io"
+	"net"
 	"net/netip"
-	"os"
-	"os/exec"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/bench/measure"
+	"github.com/balsampier/balsampier/process"
 )
 
 // CallersCommand is the command of this program that plays the callers.
@@ -34,30 +35,57 @@
 	// command is a line to the callers' process.
 	command string
 
-	// callers is a process that plays callers until its input ends.
+	// callers leads to the process that plays the callers.
 	callers struct {
-		process *exec.Cmd
-		in      io.WriteCloser
-		out     *bufio.Reader
+		conn net.Conn
+		out  *bufio.Reader
 	}
 )
 
-func startCallers(c context.Context, to netip.AddrPort, ca string, count int) (*callers, error) {
-	p, err := os.Executable()
+// Serve plays callers for one connection after the other, until c ends.
+func Serve(c context.Context, a netip.AddrPort) error {
+	l, err := process.Listen("--listen", a)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return err
 	}
-	l := &callers{process: exec.CommandContext(c, p, CallersCommand, "--to", to.String(), "--ca", ca, "--count", fmt.Sprint(count))}
-	l.process.Stderr = os.Stderr
-	if l.in, err = l.process.StdinPipe(); err != nil {
-		return nil, trace.Wrap(err)
+	context.AfterFunc(c, func() { _ = l.Close() })
+	for c.Err() == nil {
+		n, err := l.Accept()
+		if err != nil && c.Err() == nil {
+			return trace.Wrap(err)
+		}
+		if n == nil {
+			continue
+		}
+		if err := serveOne(c, n); err != nil {
+			_, _ = fmt.Fprintln(n, err)
+		}
+		_ = n.Close()
 	}
-	o, err := l.process.StdoutPipe()
+	return nil
+}
+
+// serveOne reads what to call from the first line, and commands from the rest.
+func serveOne(c context.Context, n net.Conn) error {
+	r := bufio.NewReader(n)
+	b, err := r.ReadBytes('\n')
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var o Options
+	if err := json.Unmarshal(b, &o); err != nil {
+		return trace.Wrap(err)
+	}
+	return Call(c, o, r, n)
+}
+
+func dialCallers(c context.Context, a netip.AddrPort, o Options) (*callers, error) {
+	n, err := new(net.Dialer).DialContext(c, "tcp", a.String())
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, balsampier.NewError(balsampier.KindUnavailable, "reach the callers at "+a.String(),
+			"run bench callers --listen "+a.String()+" beside this one, as make bench does", err)
 	}
-	l.out = bufio.NewReader(o)
-	return l, trace.Wrap(l.process.Start())
+	return &callers{conn: n, out: bufio.NewReader(n)}, trace.Wrap(json.NewEncoder(n).Encode(o))
 }
 
 // processor returns the processor time that this process used while the
@@ -67,7 +95,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if _, err := fmt.Fprintln(l.in, m); err != nil {
+	if _, err := fmt.Fprintln(l.conn, m); err != nil {
 		return 0, trace.Wrap(err)
 	}
 	s, err := l.out.ReadString('\n')
@@ -81,7 +109,4 @@
 	return after - before, err
 }
 
-func (l *callers) stop() {
-	_ = l.in.Close()
-	_ = l.process.Wait()
-}
+func (l *callers) stop() { _ = l.conn.Close() }
--- a/cmd/bench/connections/connections.go
+++ b/cmd/bench/connections/connections.go
@@ -37,8 +37,9 @@
 	key    = []byte("a key for the connection benchmark only")
 )
 
-// Run measures the endpoint of an agent by the number of its connections.
-func Run(c context.Context, w io.Writer, k balsampier.Clock) error {
+// Run measures the endpoint of an agent by the number of its connections. The
+// callers are played by the process that listens at from.
+func Run(c context.Context, w io.Writer, k balsampier.Clock, from netip.AddrPort) error {
 	d, err := os.MkdirTemp("", "balsampier-bench-")
 	if err != nil {
 		return trace.ConvertSystemError(err)
@@ -50,7 +51,7 @@
 	}
 	r := measure.New(w)
 	for _, n := range counts {
-		if err := run(c, r, k, p, n); err != nil {
+		if err := run(c, r, k, p, from, n); err != nil {
 			return trace.Wrap(err, "open %d connections", n)
 		}
 	}
@@ -58,14 +59,14 @@
 	return r.Err()
 }
 
-func run(c context.Context, r *measure.Report, k balsampier.Clock, p certificate, n int) error {
+func run(c context.Context, r *measure.Report, k balsampier.Clock, p certificate, from netip.AddrPort, n int) error {
 	before := measure.Memory()
 	a, stop, err := serve(c, k, p)
 	if err != nil {
 		return err
 	}
 	defer stop()
-	l, err := startCallers(c, a, p.cert, n)
+	l, err := dialCallers(c, from, Options{Addr: a.String(), CAFile: p.cert, Count: n})
 	if err != nil {
 		return err
 	}
