fix: say 'no errors' instead of 'good', and only with warnings after a submit

Cause: read as a newcomer, 'good: 0 warnings' behind every submit told nothing. Change: check prints 'no errors, N warnings'; submit prints it only when there are warnings. Conclusion: none.

--- a/cmd/balsampier/cmd/submit.go
+++ b/cmd/balsampier/cmd/submit.go
@@ -80,8 +80,10 @@
 	if !a.Accepted {
 		return 0, s.lost(c, st, a.Revision)
 	}
-	if err := report.Problems(s.c.ErrOrStderr(), a.Warnings()); err != nil {
-		return 0, err
+	if ws := a.Warnings(); len(ws) > 0 {
+		if err := report.Problems(s.c.ErrOrStderr(), ws); err != nil {
+			return 0, err
+		}
 	}
 	s.c.Printf("%s: accepted as revision %d\n", s.path, a.Revision)
 	return a.Revision, writeState(s.path, fileState{Base: a.Revision})
--- a/operator/report/report.go
+++ b/operator/report/report.go
@@ -31,7 +31,7 @@
 	case errors > 0:
 		fmt.Fprintf(&b, "refused: %s, %s\n", count(errors, "error"), count(len(ps)-errors, "warning"))
 	default:
-		fmt.Fprintf(&b, "good: %s\n", count(len(ps), "warning"))
+		fmt.Fprintf(&b, "no errors, %s\n", count(len(ps), "warning"))
 	}
 	_, err := io.WriteString(w, b.String())
 	return trace.Wrap(err)
