--- /dev/null
+++ b/command/place/world_test.go
@@ -0,0 +1,467 @@
+package place_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/place"
+	"github.com/balsampier/balsampier/command/register"
+	"github.com/balsampier/balsampier/query/inforce"
+	"github.com/balsampier/balsampier/query/steer"
+)
+
+const lease = 3 * time.Second
+
+type (
+	// world is a fleet with a control that publishes views serially, and a
+	// network that loses, repeats, delays and reorders.
+	world struct {
+		*rapid.T
+		x         *rand.Rand
+		now       time.Time
+		rules     []balsampier.RuleTable
+		tables    []*steer.Table
+		agents    []*agent
+		balancers []*balancer
+		flows     []*flow
+		net       []message
+		acked     map[balsampier.Holder]balsampier.Epoch
+		settled   bool
+	}
+
+	agent struct {
+		member   balsampier.Member
+		placer   *place.Placer
+		dir      *register.Directory
+		reg      *register.Registrar
+		parked   *register.Parked
+		arrivals map[uint64]place.Arrival
+		lease    time.Time
+		table    *steer.Table
+		// dead runs never act again; frozen ones may wake.
+		dead, frozen bool
+		drained      time.Time
+	}
+
+	balancer struct {
+		table *steer.Table
+	}
+
+	flow struct {
+		packet  balsampier.Packet
+		holder  balsampier.Holder
+		service balsampier.ServiceName
+		hits    int
+	}
+
+	message struct {
+		to      netip.AddrPort
+		arrival *place.Arrival
+		batch   *register.Batch
+		ack     *register.Ack
+		refused *balsampier.FlowKey
+		from    balsampier.Holder
+		// sent bounds the time on the way by register.Quiet.
+		sent time.Time
+	}
+
+	noLoads struct{}
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.steps", "150")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func (noLoads) Load(balsampier.InstanceID) (balsampier.Load, bool) { return balsampier.Load{}, false }
+
+func addr(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 443)
+}
+
+// ruleTables swaps the services of two addresses, and ends the rule of one.
+func ruleTables(t *rapid.T) []balsampier.RuleTable {
+	var ts []balsampier.RuleTable
+	for i, ss := range [][]balsampier.ServiceName{{"reservas", "galeria"}, {"galeria", "reservas"}, {"galeria"}} {
+		var rs []balsampier.Rule
+		for j, s := range ss {
+			rs = append(rs, balsampier.Rule{
+				Service: s, To: addr(byte(100 + j)), From: []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0")},
+			})
+		}
+		r, err := inforce.Compile(balsampier.Revision(i+1), rs, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ts = append(ts, r)
+	}
+	return ts
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		T: t, x: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		now: time.Date(2027, 3, 1, 12, 0, 0, 0, time.UTC), rules: ruleTables(t)[:1],
+		acked: make(map[balsampier.Holder]balsampier.Epoch), settled: true,
+	}
+	w.tables = []*steer.Table{steer.New(w.rules[0], balsampier.View{Epoch: 1})}
+	for i := range 4 {
+		w.join(byte(i+1), []balsampier.ServiceName{"reservas", "galeria"}[i/3])
+	}
+	w.publish()
+	for range 3 {
+		w.balancers = append(w.balancers, &balancer{table: w.top()})
+	}
+	w.settle()
+	return w
+}
+
+func (w *world) top() *steer.Table { return w.tables[len(w.tables)-1] }
+
+// join starts a run of an agent at the address n.
+func (w *world) join(n byte, s balsampier.ServiceName) {
+	name := fmt.Sprintf("%s%d", s, n)
+	m := balsampier.Member{
+		ID: balsampier.NewInstanceID(name), Name: name, Role: balsampier.RoleAgent, Incarnation: 1,
+		Addr: addr(n), Service: s, Slots: 3,
+	}
+	for _, a := range w.agents {
+		if a.member.ID == m.ID {
+			m.Incarnation = a.member.Incarnation + 1
+		}
+	}
+	a := &agent{member: m, parked: register.NewParked(), arrivals: make(map[uint64]place.Arrival), lease: w.now.Add(lease)}
+	a.dir = register.NewDirectory(m.Holder(), register.DefaultSettings())
+	a.reg = register.NewRegistrar(m.Holder())
+	a.placer = place.New(m, place.NewChooser(place.DefaultSettings(), noLoads{}), a.dir, a.reg)
+	a.placer.Lease(a.lease)
+	w.agents = append(w.agents, a)
+}
+
+// valid reports whether control must take the run for alive.
+func (w *world) valid(a *agent) bool { return w.now.Before(a.lease) }
+
+// publish makes the next view of what control knows, when the last is settled.
+func (w *world) publish() {
+	if !w.settled {
+		return
+	}
+	var ms []balsampier.Member
+	for _, a := range w.agents {
+		if w.valid(a) {
+			ms = slices.DeleteFunc(ms, func(m balsampier.Member) bool { return m.ID == a.member.ID })
+			ms = append(ms, a.member)
+		}
+	}
+	slices.SortFunc(ms, func(a, b balsampier.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	r := w.rules[len(w.rules)-1]
+	if slices.Equal(ms, w.top().View().Members) && r.Revision() == w.top().Revision() {
+		return
+	}
+	v := balsampier.View{Epoch: w.top().Epoch() + 1, Members: ms}
+	w.tables = append(w.tables, w.top().Next(r, v))
+	w.settled = false
+}
+
+// homes returns where packets of the flow arrive at balancers, by the rules of
+// the agent and by the service of the flow.
+func (w *world) homes(a *agent, t *steer.Table) register.Homes {
+	return func(k balsampier.FlowKey) []balsampier.Holder {
+		return t.Homes(a.member.Service, w.flowOf(k).packet)
+	}
+}
+
+// sync brings one agent to the current view and rules and lets it acknowledge.
+func (w *world) sync(a *agent) {
+	if a.dead || a.frozen || !w.valid(a) {
+		return
+	}
+	t := w.top()
+	if a.table == nil || a.table.Epoch() != t.Epoch() {
+		if a.table == nil {
+			a.table = steer.New(w.ruleTable(t), t.View())
+		} else {
+			a.table = a.table.Next(w.ruleTable(t), t.View())
+		}
+		a.placer.Adopt(a.table, w.homes(a, a.table))
+	}
+	for _, h := range a.reg.Outstanding() {
+		if i := w.find(h); i != nil && w.valid(i) {
+			return
+		}
+	}
+	w.acked[a.member.Holder()] = t.Epoch()
+	w.settled = w.settled || w.allAcked()
+	if w.settled {
+		a.placer.Settled(t.Epoch())
+	}
+}
+
+func (w *world) allAcked() bool {
+	for _, a := range w.agents {
+		if w.valid(a) && a.table != nil && w.acked[a.member.Holder()] < w.top().Epoch() {
+			return false
+		}
+	}
+	return true
+}
+
+// ruleTable returns the rules that were published with t.
+func (w *world) ruleTable(t *steer.Table) balsampier.RuleTable { return w.rules[t.Revision()-1] }
+
+func (w *world) find(h balsampier.Holder) *agent {
+	for _, a := range w.agents {
+		if a.member.Holder() == h {
+			return a
+		}
+	}
+	return nil
+}
+
+// at returns the run that has the address now.
+func (w *world) at(p netip.AddrPort) *agent {
+	for _, a := range slices.Backward(w.agents) {
+		if a.member.Addr == p && !a.dead {
+			return a
+		}
+	}
+	return nil
+}
+
+// packet sends a packet of a flow through a balancer.
+func (w *world) packet(f *flow, b *balancer, opening, hint bool) {
+	p := f.packet
+	p.Opening = opening
+	if hint && !opening {
+		p.Holder = f.holder
+	}
+	v := b.table.Steer(p)
+	w.answered(p, v, "balancer")
+	if v.Action != balsampier.ActionForward {
+		return
+	}
+	p.Hops++
+	w.send(message{to: v.Addr, arrival: &place.Arrival{Packet: p, Target: v.Target, Epoch: v.Epoch}})
+}
+
+// answered fails when a flow is reset whose holder lives. A packet with a hint
+// belongs to the flow of the run in the hint, also when its key was opened
+// again after that flow ended.
+func (w *world) answered(p balsampier.Packet, v balsampier.Verdict, by string) {
+	if v.Action != balsampier.ActionReset {
+		return
+	}
+	h := p.Holder
+	if h.IsZero() {
+		h = w.flowOf(p.Flow).holder
+	}
+	if a := w.find(h); a != nil && !a.dead && w.valid(a) && a.reg.Holds(p.Flow) {
+		w.Fatalf("%s reset a flow of %s %d: %s", by, a.member.Name, a.member.Incarnation, v.Reason)
+	}
+}
+
+func (w *world) flowOf(k balsampier.FlowKey) *flow {
+	for _, f := range w.flows {
+		if f.packet.Flow == k {
+			return f
+		}
+	}
+	return nil
+}
+
+func (w *world) send(m message) {
+	m.sent = w.now
+	w.net = append(w.net, m)
+}
+
+func (w *world) deliver(m message) {
+	a := w.at(m.to)
+	if a == nil || a.frozen || w.now.Sub(m.sent) >= register.Quiet/2 {
+		return
+	}
+	switch {
+	case m.arrival != nil:
+		w.arrive(a, *m.arrival, m.from)
+	case m.batch != nil:
+		k, err := a.dir.Apply(*m.batch)
+		if err != nil {
+			return
+		}
+		if h := w.find(m.batch.From); h != nil {
+			w.send(message{to: h.member.Addr, ack: &k})
+		}
+		for _, p := range a.parked.Found(func(k balsampier.FlowKey) bool { _, ok := a.dir.Lookup(k); return ok }) {
+			w.arrive(a, a.arrivals[p.Number], balsampier.Holder{})
+		}
+	case m.ack != nil:
+		if ks := a.reg.Acked(*m.ack); len(ks) > 0 && w.valid(a) {
+			w.Fatalf("conflict over a flow of %s", a.member.Name)
+		}
+	case m.refused != nil:
+		a.placer.Refused(*m.refused, m.from)
+	}
+}
+
+func (w *world) arrive(a *agent, r place.Arrival, from balsampier.Holder) {
+	f := w.flowOf(r.Packet.Flow)
+	before := a.reg.Holds(r.Packet.Flow)
+	d := a.placer.Arrive(r, w.now, w.x)
+	w.answered(r.Packet, d.Verdict, a.member.Name)
+	switch {
+	case d.Deliver:
+		w.delivered(a, f, before)
+	case d.Refused:
+		if h := w.find(from); h != nil {
+			w.send(message{to: h.member.Addr, refused: &r.Packet.Flow, from: a.member.Holder()})
+		}
+	case d.Verdict.Action == balsampier.ActionForward:
+		r.Packet.Hops++
+		r.Placed, r.Target, r.Service, r.Epoch, r.Overdue = d.Placed, d.Verdict.Target, d.Verdict.Service, d.Verdict.Epoch, false
+		w.send(message{to: d.Verdict.Addr, arrival: &r, from: a.member.Holder()})
+	case d.Verdict.Action == balsampier.ActionWait && !r.Overdue:
+		n := w.x.Uint64()
+		if a.parked.Add(r.Packet, n, w.now) {
+			a.arrivals[n] = r
+		}
+	}
+}
+
+// delivered checks which server got a packet.
+func (w *world) delivered(a *agent, f *flow, before bool) {
+	h := a.member.Holder()
+	if before {
+		if w.valid(a) && f.holder != h {
+			w.Fatalf("a packet reached %s, which isn't the holder", a.member.Name)
+		}
+		f.hits++
+		return
+	}
+	if !a.drained.IsZero() {
+		w.Fatalf("a new flow reached %s %v after the word to drain", a.member.Name, w.now.Sub(a.drained))
+	}
+	f.holder, f.service = h, a.member.Service
+	ok := false
+	for _, r := range w.rules {
+		if u, in := r.InForce(f.packet.ServiceAddr, f.packet.Caller.Addr(), w.now); in && u.Service == f.service {
+			ok = true
+		}
+	}
+	if !ok {
+		w.Fatalf("a flow to %s reached %s", f.packet.ServiceAddr, a.member.Name)
+	}
+}
+
+// check fails when two runs that may act have one flow.
+func (w *world) check(*rapid.T) {
+	holders := make(map[balsampier.FlowKey]*agent)
+	for _, a := range w.agents {
+		if a.dead || !w.valid(a) {
+			continue
+		}
+		for _, f := range w.flows {
+			if !a.reg.Holds(f.packet.Flow) {
+				continue
+			}
+			if o := holders[f.packet.Flow]; o != nil {
+				w.Fatalf("two holders: %s %d and %s %d", o.member.Name, o.member.Incarnation, a.member.Name, a.member.Incarnation)
+			}
+			holders[f.packet.Flow] = a
+		}
+	}
+}
+
+// tick renews the leases of the healthy and runs what is due.
+func (w *world) tick(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, a := range w.agents {
+		if a.dead || a.frozen {
+			continue
+		}
+		if !w.valid(a) {
+			a.dead = true
+			w.join(a.member.Addr.Addr().As4()[3], a.member.Service)
+			continue
+		}
+		a.lease = w.now.Add(lease)
+		a.placer.Lease(a.lease)
+		for _, b := range a.reg.Due(w.now, w.x) {
+			if h := w.find(b.To); h != nil {
+				w.send(message{to: h.member.Addr, batch: &b})
+			}
+		}
+		for _, p := range a.parked.Overdue(w.now) {
+			r := a.arrivals[p.Number]
+			r.Overdue = true
+			w.arrive(a, r, balsampier.Holder{})
+		}
+	}
+}
+
+func (w *world) drainNet() {
+	for len(w.net) > 0 {
+		m := w.net[0]
+		w.net = w.net[1:]
+		w.deliver(m)
+	}
+}
+
+// settle lets everything catch up without losses.
+func (w *world) settle() {
+	for range 12 {
+		w.tick(time.Second)
+		w.drainNet()
+		for range 2 {
+			for _, a := range w.agents {
+				w.sync(a)
+			}
+		}
+		w.publish()
+	}
+	for _, b := range w.balancers {
+		b.adopt(w)
+	}
+	for _, a := range w.agents {
+		w.sync(a)
+	}
+}
+
+func (b *balancer) adopt(w *world) {
+	b.table = b.table.Next(w.ruleTable(w.top()), w.top().View())
+}
+
+// whole checks that each flow with a living holder still reaches it, with and
+// without a hint, through each balancer.
+func (w *world) whole() {
+	for _, f := range w.flows {
+		a := w.find(f.holder)
+		if a == nil || a.dead || a.frozen || !a.reg.Holds(f.packet.Flow) {
+			continue
+		}
+		for _, b := range w.balancers {
+			for _, hint := range []bool{false, true} {
+				f.hits = 0
+				w.packet(f, b, false, hint)
+				w.drainNet()
+				if f.hits != 1 {
+					w.Fatalf("a packet of a flow of %s was lost, hint %v", a.member.Name, hint)
+				}
+			}
+		}
+	}
+}
