test: measure with real processes what survives a flood

Cause: the share of other work that a flood leaves was measured on the decisions only. Change: soak/flood.sh offers ten times what two servers take in one class and compares the answered requests of the other class with a run without the flood; the stand-in caller paces and overlaps its requests.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 soak: build
 	@bash soak/fuzz.sh 3s
 	@bash soak/claims.sh
+	@bash soak/flood.sh
 	@bash soak/soak.sh $(SEED)
 
 fuzz:
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -38,6 +38,12 @@
 		// For ends the run instead of Count where it is positive. Refusals are
 		// then recorded; only wrong answers make the run fail.
 		For time.Duration
+		// Every is the time between the starts of one caller's requests, which
+		// slow answers do not stretch; zero for one right after the other.
+		Every time.Duration
+		// Overlap is how many requests one caller may have under way; one
+		// more waits for an answer. At least 1.
+		Overlap int
 		// Keyed requests carry an idempotency key and are sent again when
 		// refused as not run or not answered, at most Resends times.
 		Keyed bool
@@ -120,14 +126,34 @@
 	t := &http3.Transport{TLSClientConfig: r.tls}
 	defer func() { _ = t.Close() }()
 	v := &one{run: r, h: &http.Client{Transport: t}}
+	// Callers start one after the other within the first interval.
+	next := r.Clock.Now().Add(r.Every * time.Duration(n) / time.Duration(r.Callers))
+	var w sync.WaitGroup
+	room := make(chan struct{}, max(r.Overlap, 1))
 	for i := 0; r.goesOn(c, i); i++ {
-		if err := v.once(c, fmt.Sprintf("%d-%d", n, i)); err != nil {
-			r.mu.Lock()
-			r.failed = append(r.failed, err)
-			r.mu.Unlock()
-			r.pause(c)
+		if r.Every > 0 {
+			r.wait(c, next.Sub(r.Clock.Now()))
+			next = next.Add(r.Every)
 		}
+		room <- struct{}{}
+		w.Go(func() {
+			defer func() { <-room }()
+			v.attempt(c, fmt.Sprintf("%d-%d", n, i))
+		})
+	}
+	w.Wait()
+}
+
+// attempt makes one request and notes its failure.
+func (v *one) attempt(c context.Context, id string) {
+	err := v.once(c, id)
+	if err == nil {
+		return
 	}
+	v.mu.Lock()
+	v.failed = append(v.failed, err)
+	v.mu.Unlock()
+	v.pause(c)
 }
 
 // goesOn reports whether the i-th request is still to be made.
@@ -141,8 +167,10 @@
 	return r.Clock.Now().Before(r.end)
 }
 
-func (r *run) pause(c context.Context) {
-	t := r.Clock.NewTimer(resendPause)
+func (r *run) pause(c context.Context) { r.wait(c, resendPause) }
+
+func (r *run) wait(c context.Context, d time.Duration) {
+	t := r.Clock.NewTimer(max(d, 0))
 	defer t.Stop()
 	select {
 	case <-t.C():
--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -116,6 +116,8 @@
 	c.Flags().BoolVar(&o.Keyed, "keyed", false, "send an idempotency key and resend what is refused as not run")
 	c.Flags().StringVar(&o.Key, "key", "", "send this idempotency `key` with each request, and no resends")
 	c.Flags().BoolVar(&o.Stream, "stream", false, "read a stream until it ends and check every line")
+	c.Flags().DurationVar(&o.Every, "every", 0, "time between the starts of one caller's requests")
+	c.Flags().IntVar(&o.Overlap, "overlap", 1, "how many requests one caller may have under way")
 	c.Flags().DurationVar(&o.For, "for", 0, "make requests for this long, and record refusals instead of failing")
 	c.Flags().IntVar(&o.Resends, "resends", 100, "how often a keyed request is sent again at most")
 	c.Flags().IntVar(&o.Pad, "pad", 0, "bytes to add to each body")
