refactor: open the disk of a control instance from its save thread, and link instances as they appear

Cause: a fault of the disk ended the process, and the instances were a fixed list. The save thread now opens the folder anew after a fault and the replica starts again from what is found; links are made on demand. replicate takes in unknown instances and takes out lost voters where it is open.

--- a/balsampier.go
+++ b/balsampier.go
@@ -5,6 +5,7 @@
 package balsampier
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -92,6 +93,20 @@
 	return InstanceID(xxhash.Sum64String(n))
 }
 
+// NewAddrInstanceID returns the ID of an instance that is known by nothing but
+// its IPv4 address, such as one found through seeds.
+func NewAddrInstanceID(a netip.AddrPort) InstanceID {
+	b := a.Addr().Unmap().As4()
+	return InstanceID(binary.BigEndian.Uint32(b[:]))<<16 | InstanceID(a.Port())
+}
+
+// Addr returns the address that an ID of NewAddrInstanceID was made from.
+func (i InstanceID) Addr() netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], uint32(i>>16))
+	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(i))
+}
+
 // NewIncarnation returns the incarnation of a process that starts at time t. A
 // later start has a higher one, as long as starts are incarnationStep apart.
 func NewIncarnation(t time.Time) Incarnation {
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,6 @@
 	"github.com/balsampier/balsampier/command/claim"
 	"github.com/balsampier/balsampier/command/lease"
 	"github.com/balsampier/balsampier/command/replicate"
-	"github.com/balsampier/balsampier/disk"
 	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/operator"
 	"github.com/balsampier/balsampier/peer"
@@ -30,8 +30,12 @@
 const (
 	batchSize    = 256
 	drainTimeout = 5 * time.Second
-	peerDepth    = 512
 	maxEarlier   = 8
+
+	// documentSnapshotEvery and documentKeepEntries bound the log of numbered
+	// documents, each of up to some 100 KB, well below a disk of 64 MB.
+	documentSnapshotEvery = 64
+	documentKeepEntries   = 32
 )
 
 type (
@@ -45,16 +49,19 @@
 		// inputs lead to the replicate thread, work from it to the save
 		// thread, committed from it to the apply thread.
 		inputs    *ring.Ring[input]
-		work      *ring.Ring[balsampier.LogWork]
+		work      *ring.Ring[batch]
 		committed *ring.Ring[committed]
 		// commands lead to the lease thread, digests from it to the thread
 		// that passes them to the leader.
 		commands *ring.Ring[command]
 		digests  *ring.Ring[lease.Digest]
-		// peers has an entry for every other control instance.
-		peers map[balsampier.InstanceID]*peerLink
+		links    *links
 
-		store   balsampier.LogStore
+		random balsampier.Random
+		// config belongs to the replicate thread.
+		config replicate.Config
+		// opening counts openings of the disk; it belongs to the save thread.
+		opening uint64
 		replica replica
 		leases  membership
 		state   state
@@ -70,13 +77,6 @@
 		published atomic.Pointer[published]
 	}
 
-	// peerLink leads to one other control instance.
-	peerLink struct {
-		name   string
-		caller *peer.Caller
-		out    *ring.Ring[replicate.Message]
-	}
-
 	// published is an immutable state for queries.
 	published struct {
 		rules balsampier.RuleFile
@@ -129,70 +129,79 @@
 	})
 }
 
-// New opens the data folder and restores what lasts in it.
+// New returns an instance whose threads open the data folder.
 func New(s Settings, k balsampier.Clock, r balsampier.Random, key peer.Key) (*Control, error) {
+	self := balsampier.NewInstanceID(s.Name)
+	if s.Documents {
+		self = balsampier.NewAddrInstanceID(s.PeerAddr)
+	}
 	t := &Control{
-		s: s, clock: k, self: balsampier.NewInstanceID(s.Name),
+		s: s, clock: k, random: r, self: self,
 		log:       process.NewLogger("control", s.Name, s.Level()),
 		inputs:    ring.New[input]("inputs", s.RingDepth, ring.Reject),
-		work:      ring.New[balsampier.LogWork]("work", 1, ring.Block),
+		work:      ring.New[batch]("work", 1, ring.Block),
 		committed: ring.New[committed]("committed", s.RingDepth, ring.Block),
 		commands:  ring.New[command]("commands", s.RingDepth, ring.Reject),
 		digests:   ring.New[lease.Digest]("digests", 1, ring.Block),
-		peers:     make(map[balsampier.InstanceID]*peerLink),
+		links:     newLinks(key, self, s.Documents),
+		replica:   newReplica(),
 		leases:    newMembership(),
 		state:     state{s: new(apply.State)},
 		history:   members.NewHistory(balsampier.View{}),
 	}
 	t.published.Store(&published{changed: make(chan struct{})})
-	g := replicate.Config{Instance: t.self, Election: s.ElectionTimeout, Random: r}
-	for _, v := range s.Instances {
-		id := balsampier.NewInstanceID(v.Name)
-		g.Peers = append(g.Peers, id)
-		if id != t.self {
-			t.peers[id] = &peerLink{
-				name: v.Name, caller: peer.NewCaller(key, v.PeerAddr),
-				out: ring.New[replicate.Message]("to "+v.Name, peerDepth, ring.DropNewest),
-			}
-			ring.Register(t.peers[id].out)
-		}
-	}
-	store, stored, err := disk.OpenStore(s.DataFolder, r)
-	if err != nil {
+	t.status.Store(t.closedStatus())
+	t.config = t.replicateConfig()
+	if err := t.config.Check(); err != nil {
 		return nil, err
 	}
-	t.store = store
-	n, err := replicate.New(g, stored, k.Now())
-	if err != nil {
-		return nil, err
-	}
-	t.replica = newReplica(n)
-	st := n.Status()
-	t.status.Store(&st)
 	t.registerMetrics()
 	ring.Register(t.inputs)
 	ring.Register(t.work)
 	ring.Register(t.committed)
 	ring.Register(t.commands)
 	ring.Register(t.digests)
-	t.log.Info().Uint64("snapshot", uint64(st.Snapshot)).Uint64("last", uint64(st.Last)).Msg("restored")
 	return t, nil
 }
 
+func (t *Control) replicateConfig() replicate.Config {
+	g := replicate.Config{Instance: t.self, Election: t.s.ElectionTimeout, Random: t.random}
+	if t.s.Documents {
+		g.Open, g.Joining, g.MinVoters = true, t.s.Joining, 2*t.s.Tolerance+1
+		g.SnapshotEvery, g.KeepEntries = documentSnapshotEvery, documentKeepEntries
+		g.Peers = t.seedIDs(t.s.Seeds)
+	}
+	for _, v := range t.s.Instances {
+		id := balsampier.NewInstanceID(v.Name)
+		g.Peers = append(g.Peers, id)
+		if id != t.self {
+			t.links.configure(id, v.Name, v.PeerAddr)
+		}
+	}
+	return g
+}
+
+// seedIDs returns the IDs of instances at the hosts of the seeds: all
+// instances use one peer port.
+func (t *Control) seedIDs(as []netip.AddrPort) []balsampier.InstanceID {
+	out := make([]balsampier.InstanceID, 0, len(as))
+	for _, a := range settings.WithPort(as, t.s.PeerAddr.Port()) {
+		out = append(out, balsampier.NewAddrInstanceID(a))
+	}
+	return out
+}
+
 // Threads returns the threads of the instance.
 func (t *Control) Threads() []transport.Server {
-	ts := []transport.Server{
+	return []transport.Server{
 		duty.New("replicate", t.replicate),
 		duty.New("save to disk", t.save),
 		duty.New("apply", t.apply),
 		duty.New("keep leases", t.keepLeases),
 		duty.New("pass digests", t.passDigests),
 		duty.New("confirm", t.keepConfirmed),
+		duty.New("serve links", t.serveLinks),
 	}
-	for _, p := range t.peers {
-		ts = append(ts, duty.New("send to "+p.name, t.sendTo(p)))
-	}
-	return ts
 }
 
 // Ready returns an error until the instance follows a leader.
--- a/cmd/control/app/apply.go
+++ b/cmd/control/app/apply.go
@@ -15,7 +15,9 @@
 	committed struct {
 		// restore replaces the state; nil for entries.
 		restore *balsampier.Snapshot
-		entry   balsampier.Entry
+		// reset drops the state, which is built again from the log.
+		reset bool
+		entry balsampier.Entry
 		// outcome takes the fate of the entry; nil when nobody waits.
 		outcome chan outcome
 		// snapshot asks for a snapshot behind the entry.
@@ -51,6 +53,10 @@
 }
 
 func (t *Control) applyOne(c context.Context, m committed) error {
+	if m.reset {
+		t.state = state{s: new(apply.State)}
+		return nil
+	}
 	if m.restore != nil {
 		return t.restore(*m.restore)
 	}
@@ -113,7 +119,8 @@
 
 func (t *Control) publish() {
 	old := t.published.Load()
-	if old.applied == t.state.applied {
+	if old.applied >= t.state.applied {
+		// While the state is built again the older, complete one is kept.
 		return
 	}
 	n := &published{
@@ -162,7 +169,7 @@
 	if l == t.self {
 		return t.readLocal(c)
 	}
-	p, ok := t.peers[l]
+	p, ok := t.links.get(l)
 	if !ok {
 		return 0, errNoLeader()
 	}
--- a/cmd/control/app/control_test.go
+++ b/cmd/control/app/control_test.go
@@ -105,7 +105,8 @@
 		Instance: 1, Peers: []balsampier.InstanceID{1}, Random: random.System{},
 	}, balsampier.StoredLog{Disk: 1}, time.Unix(0, 0))
 	c.Assert(err, qt.IsNil)
-	t := &Control{inputs: ring.New[input]("inputs", 1, ring.Reject), replica: newReplica(n)}
+	t := &Control{inputs: ring.New[input]("inputs", 1, ring.Reject), replica: newReplica()}
+	t.replica.n = n
 	for i := range 100 {
 		n.Tick(time.Unix(int64(i), 0))
 		if w := n.Take().Work; w != nil {
@@ -144,7 +145,7 @@
 				term = s.Term
 			}
 			i := input{kind: inputProposal, term: term, data: []byte("x"), outcome: make(chan outcome, 1)}
-			k.take(i)
+			k.takeOpen(i)
 			c.Assert(fateOf(i.outcome), qt.Equals, x.refused)
 			c.Assert(fateOf(old), qt.Equals, x.superseded)
 		})
--- a/cmd/control/app/dump_test.go
+++ b/cmd/control/app/dump_test.go
@@ -31,7 +31,6 @@
 	s.SetDefaults()
 	t, err := New(s, clock.NewFake(time.Date(2027, time.February, 20, 12, 0, 0, 0, time.UTC)), fixed{}, peer.NewKey([]byte(testKey)))
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = t.store.Close() })
 	return t
 }
 
--- a/cmd/control/app/handler.go
+++ b/cmd/control/app/handler.go
@@ -33,7 +33,7 @@
 // Leave implements peer.ControlHandler; the leader's table takes it.
 func (t *Control) Leave(c context.Context, h balsampier.Holder) error {
 	l := t.status.Load().Leader.Instance
-	if p, ok := t.peers[l]; ok {
+	if p, ok := t.links.get(l); ok {
 		return p.caller.Leave(c, h)
 	}
 	if l != t.self {
--- a/cmd/control/app/leases.go
+++ b/cmd/control/app/leases.go
@@ -220,7 +220,7 @@
 	if l == t.self {
 		return t.PassDigest(c, d)
 	}
-	p, ok := t.peers[l]
+	p, ok := t.links.get(l)
 	if !ok {
 		return lease.Receipt{}, errNoLeader()
 	}
--- a/cmd/control/app/operator.go
+++ b/cmd/control/app/operator.go
@@ -189,7 +189,7 @@
 			t.inputs.Stats(), t.work.Stats(), t.committed.Stats(), t.commands.Stats(), t.digests.Stats(),
 		},
 	}
-	for _, p := range t.peers {
+	for _, p := range t.links.all() {
 		d.Rings = append(d.Rings, p.out.Stats())
 	}
 	slices.SortFunc(d.Rings, func(a, b ring.Stats) int { return cmp.Compare(a.Name, b.Name) })
--- a/cmd/control/app/operator_test.go
+++ b/cmd/control/app/operator_test.go
@@ -37,7 +37,6 @@
 	c.Cleanup(func() {
 		cancel()
 		w.Wait()
-		_ = t.store.Close()
 	})
 	for t.Ready() != nil {
 		time.Sleep(retryPause)
--- a/cmd/control/app/replicate.go
+++ b/cmd/control/app/replicate.go
@@ -6,7 +6,6 @@
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/replicate"
-	"github.com/balsampier/balsampier/ring"
 )
 
 const (
@@ -25,6 +24,9 @@
 	inputDiskDone
 	inputCompact
 	inputTransfer
+	inputOpened
+	inputDiskLost
+	inputSeeds
 )
 
 type (
@@ -46,6 +48,11 @@
 		seq uint64
 		// index is that of data in inputCompact.
 		index balsampier.Index
+		// opening is the opening of the disk that seq belongs to.
+		opening uint64
+		opened  *opened
+		// seeds are set in inputSeeds only.
+		seeds []balsampier.InstanceID
 	}
 
 	// outcome is the fate of a proposal.
@@ -67,7 +74,10 @@
 
 	// replica is owned by the replicate thread.
 	replica struct {
+		// n is nil while the disk is not open.
 		n *replicate.Node
+		// opening numbers the opening of the disk that n started from.
+		opening uint64
 		// proposals are those that this instance made and that are neither
 		// committed nor lost, by index.
 		proposals map[balsampier.Index]proposal
@@ -77,10 +87,10 @@
 	}
 )
 
-func newReplica(n *replicate.Node) replica {
+func newReplica() replica {
 	return replica{
-		n: n, proposals: make(map[balsampier.Index]proposal),
-		reads: make(map[replicate.ReadToken]chan readAnswer),
+		proposals: make(map[balsampier.Index]proposal),
+		reads:     make(map[replicate.ReadToken]chan readAnswer),
 	}
 }
 
@@ -97,15 +107,50 @@
 		if err != nil {
 			return err
 		}
-		t.replica.n.Tick(t.clock.Now())
+		if t.replica.n != nil {
+			t.replica.n.Tick(t.clock.Now())
+		}
 		for i := range is[:n] {
-			t.take(is[i])
+			if err := t.take(c, is[i]); err != nil {
+				return err
+			}
 			is[i] = input{}
 		}
 	}
 }
 
-func (t *Control) take(i input) {
+func (t *Control) take(c context.Context, i input) error {
+	r := &t.replica
+	switch {
+	case i.kind == inputOpened:
+		return t.open(c, i.opened)
+	case i.kind == inputDiskLost:
+		t.closeReplica()
+	case i.kind == inputSeeds:
+		t.config.Peers = i.seeds
+		if r.n != nil {
+			r.n.Seeds(i.seeds)
+		}
+	case r.n == nil:
+		refuseInput(i)
+	default:
+		t.takeOpen(i)
+	}
+	return nil
+}
+
+// refuseInput answers what came while there is no replica.
+func refuseInput(i input) {
+	switch i.kind {
+	case inputProposal:
+		i.outcome <- outcome{err: errNotLeader()}
+	case inputRead:
+		i.read <- readAnswer{err: errNotLeader()}
+	}
+}
+
+// takeOpen takes an input in at the replica.
+func (t *Control) takeOpen(i input) {
 	r := &t.replica
 	switch i.kind {
 	case inputMessage:
@@ -120,7 +165,9 @@
 		}
 		r.reads[r.nextToken] = i.read
 	case inputDiskDone:
-		r.n.DiskDone(i.seq)
+		if i.opening == r.opening {
+			r.n.DiskDone(i.seq)
+		}
 	case inputCompact:
 		r.n.Compact(i.index, i.data)
 	case inputTransfer:
@@ -150,14 +197,17 @@
 
 // handOn distributes what the log wants done.
 func (t *Control) handOn(c context.Context) error {
+	if t.replica.n == nil {
+		return nil
+	}
 	o := t.replica.n.Take()
 	for _, m := range o.Messages {
-		if p, ok := t.peers[m.To.Instance]; ok {
+		if p, ok := t.links.get(m.To.Instance); ok {
 			_ = p.out.Push(c, m)
 		}
 	}
 	if o.Work != nil {
-		if err := t.work.Push(c, *o.Work); err != nil {
+		if err := t.work.Push(c, batch{opening: t.replica.opening, work: *o.Work}); err != nil {
 			return err
 		}
 	}
@@ -227,46 +277,12 @@
 	if i == t.self {
 		return t.s.Name
 	}
-	if p, ok := t.peers[i]; ok {
+	if p, ok := t.links.get(i); ok {
 		return p.name
 	}
 	return ""
 }
 
-// save makes work durable, one after the other.
-func (t *Control) save(c context.Context) error {
-	var ws [1]balsampier.LogWork
-	for {
-		if _, err := t.work.Pop(c, ws[:]); err != nil {
-			return err
-		}
-		if err := t.store.Save(ws[0]); err != nil {
-			return err
-		}
-		if err := t.inputs.PushWith(c, input{kind: inputDiskDone, seq: ws[0].Seq}, ring.Block); err != nil {
-			return err
-		}
-	}
-}
-
-// sendTo hands messages to one other control instance.
-func (t *Control) sendTo(p *peerLink) func(context.Context) error {
-	return func(c context.Context) error {
-		var ms [maxStepMessages]replicate.Message
-		for {
-			n, err := p.out.Pop(c, ms[:])
-			if err != nil {
-				return err
-			}
-			x, cancel := context.WithTimeout(c, stepTimeout)
-			if err := p.caller.Step(x, ms[:n]); err != nil && c.Err() == nil {
-				t.log.Debug().Err(err).Str("to", p.name).Msg("messages lost")
-			}
-			cancel()
-		}
-	}
-}
-
 // propose orders an entry and waits for its fate. An entry that was decided in
 // a term is not ordered in another one.
 func (t *Control) propose(c context.Context, data []byte, n balsampier.Term) (balsampier.SubmissionAnswer, error) {
--- a/cmd/control/app/settings.go
+++ b/cmd/control/app/settings.go
@@ -40,6 +40,16 @@
 		LocalAgents bool `yaml:"localAgents"`
 		// RingDepth is the capacity of each ring.
 		RingDepth int `yaml:"ringDepth"`
+		// Documents replaces rule files by documents that the operator
+		// numbers, and the fixed instances by ones found through seeds.
+		Documents bool `yaml:"documents"`
+		// Seeds are addresses of control instances; the port that counts is
+		// that of the own peer address. Set exactly when Documents is.
+		Seeds []netip.AddrPort `yaml:"seeds"`
+		// Joining keeps a blank instance from founding a log.
+		Joining bool `yaml:"joining"`
+		// Tolerance is how many instances may be lost at once.
+		Tolerance int `yaml:"tolerance"`
 	}
 
 	// Instance is one control instance.
@@ -70,7 +80,6 @@
 func (s *Settings) Check(f *settings.Faults) {
 	s.Common.Check(f)
 	f.Addr("peerAddress", s.PeerAddr)
-	f.Required("dataFolder", s.DataFolder)
 	f.Positive("ringDepth", s.RingDepth)
 	if s.WatchBudget < minWatchBudget {
 		f.Add("watchBudget", fmt.Sprint(s.WatchBudget), fmt.Sprintf("write at least %d", minWatchBudget))
@@ -81,6 +90,13 @@
 	if s.ElectionTimeout < minElectionTimeout {
 		f.Add("electionTimeout", s.ElectionTimeout.String(), "write at least "+minElectionTimeout.String())
 	}
+	if s.Documents {
+		if len(s.Seeds) == 0 {
+			f.Add("seeds", "", "list the address of at least one control instance")
+		}
+		return
+	}
+	f.Required("dataFolder", s.DataFolder)
 	s.checkInstances(f)
 }
 
--- /dev/null
+++ b/cmd/control/app/store.go
@@ -0,0 +1,135 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/disk"
+	"github.com/balsampier/balsampier/ring"
+)
+
+// reopenPause spaces attempts to open the data folder after a fault; it keeps
+// a full disk from taking more than a few percent of the processor.
+const reopenPause = 500 * time.Millisecond
+
+type (
+	// batch is work for one opening of the data folder.
+	batch struct {
+		opening uint64
+		work    balsampier.LogWork
+	}
+
+	// opened is what an opening of the data folder found.
+	opened struct {
+		opening uint64
+		stored  balsampier.StoredLog
+	}
+)
+
+// save makes work durable, one after the other. After a fault it is not known
+// what lasts: the folder is opened anew, and the replica starts again from
+// what is found there.
+func (t *Control) save(c context.Context) error {
+	for {
+		s, err := t.openStore(c)
+		if err != nil {
+			return err
+		}
+		err = t.saveTo(c, s)
+		if e := s.Close(); e != nil {
+			t.log.Warn().Err(e).Msg("data folder not closed")
+		}
+		if c.Err() != nil || balsampier.KindOf(err) == balsampier.KindClosed {
+			return err
+		}
+		t.log.Error().Err(err).Msg("disk lost; the replica starts again")
+		if err := t.inputs.PushWith(c, input{kind: inputDiskLost}, ring.Block); err != nil {
+			return err
+		}
+		t.pause(c, reopenPause)
+	}
+}
+
+// openStore opens the data folder, as often as it takes.
+func (t *Control) openStore(c context.Context) (balsampier.LogStore, error) {
+	for failed := false; ; failed = true {
+		s, stored, err := disk.OpenStore(t.s.DataFolder, t.random)
+		if err == nil {
+			t.opening++
+			t.log.Info().Uint64("snapshot", uint64(stored.Snapshot.Index)).Int("entries", len(stored.Entries)).Msg("disk opened")
+			return s, t.inputs.PushWith(c, input{kind: inputOpened, opened: &opened{opening: t.opening, stored: stored}}, ring.Block)
+		}
+		if c.Err() != nil {
+			return nil, c.Err()
+		}
+		if !failed {
+			t.log.Error().Err(err).Msg("data folder not opened; it is tried again")
+		}
+		t.pause(c, reopenPause)
+	}
+}
+
+func (t *Control) saveTo(c context.Context, s balsampier.LogStore) error {
+	var bs [1]batch
+	for {
+		if _, err := t.work.Pop(c, bs[:]); err != nil {
+			return err
+		}
+		if bs[0].opening != t.opening {
+			continue
+		}
+		if err := s.Save(bs[0].work); err != nil {
+			return err
+		}
+		d := input{kind: inputDiskDone, seq: bs[0].work.Seq, opening: t.opening}
+		bs[0] = batch{}
+		if err := t.inputs.PushWith(c, d, ring.Block); err != nil {
+			return err
+		}
+	}
+}
+
+// open starts the replica from what the disk holds.
+func (t *Control) open(c context.Context, o *opened) error {
+	n, err := replicate.New(t.config, o.stored, t.clock.Now())
+	if err != nil {
+		return err
+	}
+	t.replica.n, t.replica.opening = n, o.opening
+	if o.opening == 1 {
+		return nil
+	}
+	// The state is built again from the beginning of what the disk holds.
+	return t.committed.Push(c, committed{reset: true})
+}
+
+// closeReplica gives up what the replica had under way.
+func (t *Control) closeReplica() {
+	r := &t.replica
+	for x, p := range r.proposals {
+		p.outcome <- outcome{err: balsampier.NewError(balsampier.KindUnknown, "propose", "ask again with the same ID", nil)}
+		delete(r.proposals, x)
+	}
+	for k, a := range r.reads {
+		a <- readAnswer{err: errNotLeader()}
+		delete(r.reads, k)
+	}
+	r.n = nil
+	t.status.Store(t.closedStatus())
+}
+
+// closedStatus is the status while the disk is not open.
+func (t *Control) closedStatus() *replicate.Status {
+	return &replicate.Status{Self: balsampier.Replica{Instance: t.self}, Blank: true}
+}
+
+func (t *Control) pause(c context.Context, d time.Duration) {
+	k := t.clock.NewTimer(d)
+	defer k.Stop()
+	select {
+	case <-k.C():
+	case <-c.Done():
+	}
+}
--- a/command/apply/apply.go
+++ b/command/apply/apply.go
@@ -64,6 +64,9 @@
 // keeps the resend from being accepted again: revisions only grow, so a base
 // that was accepted on is never current again.
 func (s *State) Submit(b balsampier.Submission) balsampier.SubmissionAnswer {
+	if b.Version > 0 {
+		return s.number(b)
+	}
 	if a, ok := s.Answer(b.ID); ok {
 		return a
 	}
@@ -81,6 +84,19 @@
 	return a
 }
 
+// number takes a submission that the operator numbered: the highest version is
+// in force, and a lower one is accepted without effect. Other content under
+// the version in force is refused.
+func (s *State) number(b balsampier.Submission) balsampier.SubmissionAnswer {
+	switch {
+	case b.Version > s.Rules.Revision:
+		s.Rules = balsampier.RuleFile{Revision: b.Version, Text: b.Text, AcceptedAt: b.At}
+	case b.Version == s.Rules.Revision && b.Text != s.Rules.Text:
+		return balsampier.SubmissionAnswer{Revision: s.Rules.Revision}
+	}
+	return balsampier.SubmissionAnswer{Accepted: true, Revision: s.Rules.Revision}
+}
+
 // ChangeMembers applies one batch and raises the epoch by one.
 func (s *State) ChangeMembers(c MembershipChange) {
 	s.View = balsampier.View{Epoch: s.View.Epoch + 1, Members: merge(s.View.Members, c)}
--- a/command/replicate/append.go
+++ b/command/replicate/append.go
@@ -41,6 +41,9 @@
 	}
 	n.beatAt = n.now.Add(n.g.Heartbeat)
 	n.promoteLearner()
+	if n.g.Open {
+		n.dropLost()
+	}
 	for _, r := range n.others() {
 		p := n.peers[r]
 		p.sent = false
--- a/command/replicate/bootstrap.go
+++ b/command/replicate/bootstrap.go
@@ -19,6 +19,10 @@
 		return
 	}
 	n.beatAt = n.now.Add(n.g.Heartbeat)
+	if n.g.Joining {
+		n.announce()
+		return
+	}
 	if n.isCoordinator() && n.hard == (balsampier.HardState{}) {
 		n.setHard(balsampier.HardState{Vote: n.id})
 	}
@@ -37,20 +41,44 @@
 // announce tells all instances of this disk, so that a leader whose replica
 // set lacks it can take it in.
 func (n *Node) announce() {
-	for _, p := range n.g.Peers {
+	ps := slices.Concat(n.g.Peers, n.known)
+	for _, r := range slices.Concat(n.set.Voters, n.set.Learners) {
+		ps = append(ps, r.Instance)
+	}
+	slices.Sort(ps)
+	for _, p := range slices.Compact(ps) {
 		if p != n.g.Instance {
 			n.send(Message{Kind: MessageJoin, To: balsampier.Replica{Instance: p}})
 		}
 	}
 }
 
-func (n *Node) isCoordinator() bool { return n.g.Instance == n.g.Peers[0] }
+func (n *Node) isCoordinator() bool { return len(n.g.Peers) > 0 && n.g.Instance == n.g.Peers[0] }
+
+// Seeds replaces the seeds of an open node that has founded or joined a log,
+// or will only join one.
+func (n *Node) Seeds(is []balsampier.InstanceID) {
+	if len(is) > 0 && (n.g.Joining || !n.blank()) {
+		n.g.Peers = slices.Compact(slices.Sorted(slices.Values(is)))
+	}
+}
+
+// decline takes in that a seed has no disk and will never be a replica.
+func (n *Node) decline(i balsampier.InstanceID) {
+	if n.g.Open && n.blank() && n.hard.Term == 0 {
+		n.g.Peers = slices.DeleteFunc(n.g.Peers, func(p balsampier.InstanceID) bool { return p == i })
+	}
+}
 
 // stepBootstrap handles the messages that come before a log exists, and
 // reports whether m is dealt with. A blank node takes part in nothing but the
 // bootstrap and in what a leader sends.
 func (n *Node) stepBootstrap(m Message) bool {
 	switch m.Kind {
+	case MessageDecline:
+		n.decline(m.From.Instance)
+	case MessagePeers:
+		n.known = m.Peers[:min(len(m.Peers), maxReplicas)]
 	case MessageJoin:
 		n.takeJoin(m.From)
 	case MessageBootstrapVote:
@@ -70,7 +98,7 @@
 // agree votes once, while blank and in term zero, for a coordinator with the
 // same settings.
 func (n *Node) agree(m Message) {
-	if !n.blank() || n.hard.Term != 0 || m.From.Instance != n.g.Peers[0] || !slices.Equal(m.Peers, n.g.Peers) {
+	if !n.blank() || n.hard.Term != 0 || n.g.Joining || !slices.Equal(m.Peers, n.g.Peers) || len(m.Peers) == 0 || m.From.Instance != m.Peers[0] {
 		return
 	}
 	if n.hard.Vote.IsZero() {
@@ -132,7 +160,15 @@
 		if n.log.snapshot.Index == firstIndex {
 			n.handSet(r)
 		}
-	case n.role == RoleLeader:
+	case n.role == RoleLeader && n.hasInstance(r.Instance):
 		n.replaceDisk(r)
+	case n.role == RoleLeader && n.g.Open:
+		n.admit(r)
+	case n.g.Open:
+		m := Message{Kind: MessagePeers, To: r}
+		for _, v := range n.set.Voters {
+			m.Peers = append(m.Peers, v.Instance)
+		}
+		n.send(m)
 	}
 }
--- a/command/replicate/member.go
+++ b/command/replicate/member.go
@@ -61,6 +61,42 @@
 	_ = n.change(s)
 }
 
+// admit takes an instance that is not in the set in as a learner.
+func (n *Node) admit(r balsampier.Replica) {
+	if len(n.set.Voters)+len(n.set.Learners) >= maxReplicas {
+		return
+	}
+	s := without(n.set, r.Instance)
+	s.Learners = append(s.Learners, r)
+	// Where this is refused, the replica announces itself again.
+	_ = n.change(s)
+}
+
+// dropLost takes out a replica of an open node that has been silent for long:
+// a learner, or a voter while enough others answer. A voter that comes back
+// joins again.
+func (n *Node) dropLost() {
+	live := 1
+	var lost balsampier.Replica
+	for _, r := range n.others() {
+		switch p := n.peers[r]; {
+		case n.now.Sub(p.heard) >= n.g.LostAfter:
+			lost = r
+		case n.set.HasVoter(r) && n.now.Sub(p.heard) < n.g.Election:
+			live++
+		}
+	}
+	if lost.IsZero() || (n.set.HasVoter(lost) && live < n.g.MinVoters) {
+		return
+	}
+	// Where another change is under way, the next tick tries again.
+	_ = n.change(without(n.set, lost.Instance))
+}
+
+func (n *Node) hasInstance(i balsampier.InstanceID) bool {
+	return slices.ContainsFunc(slices.Concat(n.set.Voters, n.set.Learners), func(r balsampier.Replica) bool { return r.Instance == i })
+}
+
 // promoteLearner makes a learner that holds all committed entries a voter.
 func (n *Node) promoteLearner() {
 	for _, r := range n.set.Learners {
--- a/command/replicate/message.go
+++ b/command/replicate/message.go
@@ -27,6 +27,10 @@
 	MessageInstall
 	// MessageTransfer asks the receiver to stand for election at once.
 	MessageTransfer
+	// MessagePeers answers MessageJoin with the instances of the voters.
+	MessagePeers
+	// MessageDecline says that the sender has no disk and is no replica.
+	MessageDecline
 )
 
 type (
@@ -58,7 +62,8 @@
 		// Read numbers the newest read that an append confirms; answers echo
 		// it.
 		Read uint64
-		// Peers are the configured instances, in bootstrap votes only.
+		// Peers are the configured instances in bootstrap votes, and the
+		// voters in MessagePeers.
 		Peers []balsampier.InstanceID
 		// Entries follow Index without a gap.
 		Entries []balsampier.Entry
--- a/command/replicate/replicate.go
+++ b/command/replicate/replicate.go
@@ -36,6 +36,17 @@
 	RoleLeader
 )
 
+const (
+	// maxReplicas bounds the voters and learners of a log, as the brief does.
+	maxReplicas = 9
+	// defaultLostAfter is longer than two elections, so that a change of
+	// leaders makes no voter count as lost.
+	defaultLostAfter = 2500 * time.Millisecond
+	// minVoters is the size that a set of voters is not shrunk below: with
+	// three the log survives the loss of one.
+	minVoters = 3
+)
+
 type (
 	// Role is the part that a node plays in its term.
 	Role uint8
@@ -45,8 +56,19 @@
 		// Instance is the own one, and one of Peers.
 		Instance balsampier.InstanceID
 		// Peers are the instances of the first replica set, in any order,
-		// the same at all of them.
+		// the same at all of them. Where Open is true they are the seeds, and
+		// the own instance need not be one of them.
 		Peers []balsampier.InstanceID
+		// Open lets instances join that are not in Peers, and replaces lost
+		// voters by them.
+		Open bool
+		// Joining keeps an open node from founding a log: it only joins one.
+		Joining bool
+		// MinVoters is the size below which no lost voter is taken out.
+		MinVoters int
+		// LostAfter is how long a voter of an open node is silent until it
+		// counts as lost.
+		LostAfter time.Duration
 		// Election is the shortest election timeout and the leader's lease.
 		Election time.Duration
 		// Heartbeat is well below Election.
@@ -75,6 +97,8 @@
 	Node struct {
 		g  Config
 		id balsampier.Replica
+		// known are the instances that others named as replicas.
+		known []balsampier.InstanceID
 		// now only grows; it is the time of the last tick.
 		now  time.Time
 		hard balsampier.HardState
@@ -126,8 +150,7 @@
 
 // New returns the node that continues from s.
 func New(g Config, s balsampier.StoredLog, t time.Time) (*Node, error) {
-	g.setDefaults()
-	if err := g.check(); err != nil {
+	if err := g.Check(); err != nil {
 		return nil, err
 	}
 	if s.Disk == 0 {
@@ -172,18 +195,24 @@
 	if g.Election == 0 {
 		g.Election = time.Second
 	}
+	g.MinVoters = max(g.MinVoters, minVoters)
+	if g.LostAfter == 0 {
+		g.LostAfter = defaultLostAfter
+	}
 	if g.Heartbeat == 0 {
 		g.Heartbeat = g.Election / 10
 	}
 	g.Peers = slices.Compact(slices.Sorted(slices.Values(g.Peers)))
 }
 
-func (g *Config) check() error {
+// Check fills defaults and returns an error for what is wrong.
+func (g *Config) Check() error {
+	g.setDefaults()
 	const op = "check replica settings"
 	switch {
-	case len(g.Peers) < 1 || len(g.Peers) > 9:
+	case len(g.Peers) < 1 || len(g.Peers) > maxReplicas:
 		return invalid(op, "name at most 9 control instances, and 3 or more to survive a failure")
-	case !slices.Contains(g.Peers, g.Instance):
+	case !g.Open && !slices.Contains(g.Peers, g.Instance):
 		return invalid(op, "list the own instance among the control instances")
 	case g.Heartbeat <= 0 || g.Heartbeat*3 > g.Election:
 		return invalid(op, "set the heartbeat to a third of the election timeout or less")
--- a/interfaces.go
+++ b/interfaces.go
@@ -110,6 +110,25 @@
 		Close() error
 	}
 
+	// SegmentCodec reads and makes packets of flows without holder hints.
+	SegmentCodec interface {
+		// Decode reads a packet; toService is the direction that it has to
+		// have.
+		Decode(b []byte, toService bool) (Segment, error)
+		// Head returns the part of the packet that Decode reads.
+		Head(b []byte) []byte
+		// ClearReturned makes a returned packet one to be delivered again.
+		ClearReturned(b []byte)
+		// AppendReset appends the reset that ends the flow at the client.
+		AppendReset(b []byte, s Segment) []byte
+	}
+
+	// DocumentParser reads the documents of an operator who numbers them.
+	DocumentParser interface {
+		// Parse returns the routes of the document, or an error of KindInvalid.
+		Parse(text string) (RouteFile, error)
+	}
+
 	// LogStore keeps the replicated log of one replica.
 	LogStore interface {
 		// Save makes w durable before it returns.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -143,6 +143,7 @@
 func EncodeSubmission(s balsampier.Submission) ([]byte, error) {
 	b, err := proto.Marshal(&peerpb.LogEntry{Change: &peerpb.LogEntry_Submission{Submission: &peerpb.Submission{
 		Id: s.ID[:], Base: uint64(s.Base), Text: s.Text, Zones: putZones(s.Zones), AtUnixNanos: s.At.UnixNano(),
+		Version: uint64(s.Version),
 	}}})
 	return b, trace.Wrap(err)
 }
@@ -172,6 +173,7 @@
 		return &balsampier.Submission{
 			ID: id, Base: balsampier.Revision(s.GetBase()), Text: s.GetText(),
 			Zones: zones(s.GetZones()), At: time.Unix(0, s.GetAtUnixNanos()).UTC(),
+			Version: balsampier.Revision(s.GetVersion()),
 		}, nil, nil, err
 	}
 	m := e.GetMembership()
--- a/request.go
+++ b/request.go
@@ -54,6 +54,9 @@
 		ID SubmissionID
 		// Base is the revision that the operator edited.
 		Base Revision
+		// Version is set instead of ID and Base where the operator numbers the
+		// files; the highest one is in force.
+		Version Revision
 		// Text is the file, byte for byte.
 		Text string
 		// Zones are the zones compiled by the accepting instance.
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -121,6 +121,16 @@
 	}
 }
 
+// Drop discards what is in the ring and counts it as overflows.
+func (r *Ring[T]) Drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.overflows.Add(uint64(r.n))
+	clear(r.buf)
+	r.head, r.n = 0, 0
+	signal(r.writable)
+}
+
 // Close ends the ring: pushes fail, pops drain what is left and then fail.
 func (r *Ring[T]) Close() {
 	r.mu.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,15 @@
 	return nil
 }
 
+// WithPort returns the addresses with another port.
+func WithPort(as []netip.AddrPort, port uint16) []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(as))
+	for _, a := range as {
+		out = append(out, netip.AddrPortFrom(a.Addr(), port))
+	}
+	return out
+}
+
 // Add records a fault; a key that has one already gets no second.
 func (f *Faults) Add(key, value, remedy string) {
 	if slices.ContainsFunc(f.list, func(v Fault) bool { return v.Key == key }) {
