--- a/balsampier.go
+++ b/balsampier.go
@@ -26,6 +26,10 @@
 // incarnationStep makes incarnations last for 34 years.
 const incarnationStep = 250 * time.Millisecond
 
+// laterSteps is two seconds, so that a few tries pass a clock that was set
+// back by some.
+const laterSteps = 8
+
 var firstIncarnation = time.Date(2025, time.January, 1, 0, 0, 0, 0, time.UTC)
 
 type (
@@ -113,6 +117,10 @@
 	return Incarnation(t.Sub(firstIncarnation)/incarnationStep) + 1
 }
 
+// Later returns an incarnation that is higher by some seconds, for a run whose
+// clock was behind that of the run before.
+func (i Incarnation) Later() Incarnation { return i + laterSteps }
+
 // String returns the name of the role as it stands in dumps.
 func (r Role) String() string {
 	switch r {
--- a/cmd/agent/app/app.go
+++ b/cmd/agent/app/app.go
@@ -16,6 +16,7 @@
 	"github.com/balsampier/balsampier/backend"
 	"github.com/balsampier/balsampier/caller"
 	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/cmd/agent/datagram"
 	"github.com/balsampier/balsampier/command/admit"
 	"github.com/balsampier/balsampier/control"
 	"github.com/balsampier/balsampier/duty"
@@ -96,6 +97,15 @@
 
 // Run runs an agent until it is stopped.
 func Run(s Settings) error {
+	if s.Datagram != nil {
+		return datagram.Run(*s.Datagram, s.Common, s.PeerAddr, s.BackendAddr, func(a *datagram.Agent) transport.Server {
+			return process.NewReloader(s.Path(), clock.System{}, a.Logger(), func(n Settings) {
+				if n.Datagram != nil {
+					a.Reload(*n.Datagram)
+				}
+			})
+		})
+	}
 	a, err := New(s, clock.System{}, random.System{})
 	if err != nil {
 		return err
--- a/cmd/agent/app/settings.go
+++ b/cmd/agent/app/settings.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/balsampier/balsampier/cmd/agent/datagram"
 	"github.com/balsampier/balsampier/settings"
 )
 
@@ -55,6 +56,8 @@
 		RingDepth int `yaml:"ringDepth"`
 		// DrainTimeout bounds how long a stop waits for running requests.
 		DrainTimeout time.Duration `yaml:"drainTimeout"`
+		// Datagram selects the datagram front end; nil selects QUIC.
+		Datagram *datagram.Settings `yaml:"datagram"`
 	}
 
 	// RequestKind says how to treat some requests.
@@ -90,6 +93,10 @@
 	s.Common.Check(f)
 	f.Addr("peerAddress", s.PeerAddr)
 	f.Addr("backendAddress", s.BackendAddr)
+	if s.Datagram != nil {
+		s.Datagram.Check(f)
+		return
+	}
 	f.File("certFile", s.CertFile)
 	f.File("keyFile", s.KeyFile)
 	f.Positive("queueDepth", s.QueueDepth)
--- a/cmd/balancer/app/app.go
+++ b/cmd/balancer/app/app.go
@@ -14,6 +14,7 @@
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/caller"
 	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/cmd/balancer/datagram"
 	"github.com/balsampier/balsampier/control"
 	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/fabric"
@@ -72,6 +73,15 @@
 
 // Run runs a balancer until it is stopped.
 func Run(s Settings) error {
+	if s.Datagram != nil {
+		return datagram.Run(*s.Datagram, s.Common, s.PeerAddr, func(b *datagram.Balancer) transport.Server {
+			return process.NewReloader(s.Path(), clock.System{}, b.Logger(), func(n Settings) {
+				if n.Datagram != nil {
+					b.Reload(*n.Datagram)
+				}
+			})
+		})
+	}
 	key, err := settings.ReadKey(s.PeerKeyFile)
 	if err != nil {
 		return err
--- a/cmd/balancer/app/settings.go
+++ b/cmd/balancer/app/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/balsampier/balsampier/cmd/balancer/datagram"
 	"github.com/balsampier/balsampier/settings"
 )
 
@@ -21,6 +22,8 @@
 		Services []Service `yaml:"services"`
 		// RingDepth is the capacity of each ring.
 		RingDepth int `yaml:"ringDepth"`
+		// Datagram selects the datagram front end; nil selects QUIC.
+		Datagram *datagram.Settings `yaml:"datagram"`
 	}
 
 	// Service is one service address.
@@ -50,6 +53,10 @@
 	s.Common.Check(f)
 	f.Addr("peerAddress", s.PeerAddr)
 	f.Positive("ringDepth", s.RingDepth)
+	if s.Datagram != nil {
+		s.Datagram.Check(f)
+		return
+	}
 	if len(s.Control) == 0 {
 		f.Add("control", "", "list the peer addresses of the control instances")
 	}
--- /dev/null
+++ b/cmd/balancer/datagram/dump.go
@@ -0,0 +1,53 @@
+package datagram
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/query/members"
+	"github.com/balsampier/balsampier/ring"
+)
+
+type (
+	// Dump is the state of a balancer.
+	Dump struct {
+		Program    string                `json:"program"`
+		Name       string                `json:"name"`
+		DataCentre balsampier.DataCentre `json:"dataCentre"`
+		Revision   balsampier.Revision   `json:"revision"`
+		Epoch      balsampier.Epoch      `json:"epoch"`
+		Control    control.Status        `json:"control"`
+		Draining   bool                  `json:"draining"`
+		Members    members.Summary       `json:"members"`
+		Flows      int64                 `json:"flows"`
+		Packets    uint64                `json:"packets"`
+		Rings      []ring.Stats          `json:"rings"`
+	}
+
+	counters struct{ packets *metrics.Counter }
+)
+
+// Dump returns the state for operators.
+func (b *Balancer) Dump() any {
+	s := b.session.State()
+	return Dump{
+		Program: "balancer", Name: b.o.Name, DataCentre: b.o.DataCentre, Revision: s.Rules.Revision, Epoch: s.View.Epoch,
+		Control: b.session.Status(), Draining: b.draining.Load(), Members: members.Summarize(s.View),
+		Flows: b.flows.Load(), Packets: b.counters.packets.Get(), Rings: []ring.Stats{b.inputs.Stats(), b.outputs.Stats()},
+	}
+}
+
+func newCounters() counters {
+	return counters{packets: metrics.GetOrCreateCounter("balsampier_balancer_client_packets_total")}
+}
+
+func (counters) drop(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_balancer_dropped_packets_total{reason=%q}", reason)).Inc()
+}
+
+func (counters) event(e string, r balsampier.Reason) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("balsampier_balancer_flow_events_total{event=%q,reason=%q}", e, r.String())).Inc()
+}
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -20,6 +20,7 @@
 	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/operator"
 	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/platform"
 	"github.com/balsampier/balsampier/process"
 	"github.com/balsampier/balsampier/query/members"
 	"github.com/balsampier/balsampier/random"
@@ -110,11 +111,14 @@
 	if err != nil {
 		return err
 	}
+	ps := peer.NewServer(p)
+	if s.Documents && s.DataFolder == "" {
+		return runRelay(s, peer.NewKey(key), opKey, o, ps)
+	}
 	t, err := New(s, clock.System{}, random.System{}, peer.NewKey(key))
 	if err != nil {
 		return err
 	}
-	ps := peer.NewServer(p)
 	if err := ps.AddControl(peer.NewKey(key), t); err != nil {
 		return err
 	}
@@ -122,10 +126,14 @@
 		return err
 	}
 	os := operator.NewServer(o, opKey, t.Dump, t.Ready)
-	os.AddRules(t, t)
+	if s.Documents {
+		platform.Documents{Commands: t, Queries: t}.Register(os)
+	} else {
+		os.AddRules(t, t)
+	}
 	os.AddLogLevel(t.log)
 	return process.Run(process.Program{
-		Name: "control", Servers: append(t.Threads(), ps, os), Drain: t.Drain, DrainTimeout: drainTimeout, Logger: t.log,
+		Name: "control", Servers: append(t.Threads(), ps, os, process.NewReloader(s.Path(), t.clock, t.log, t.Reload)), Drain: t.Drain, DrainTimeout: drainTimeout, Logger: t.log,
 	})
 }
 
@@ -193,7 +201,7 @@
 
 // Threads returns the threads of the instance.
 func (t *Control) Threads() []transport.Server {
-	return []transport.Server{
+	ts := []transport.Server{
 		duty.New("replicate", t.replicate),
 		duty.New("save to disk", t.save),
 		duty.New("apply", t.apply),
@@ -202,6 +210,10 @@
 		duty.New("confirm", t.keepConfirmed),
 		duty.New("serve links", t.serveLinks),
 	}
+	if t.s.Documents {
+		ts = append(ts, duty.New("announce", t.announce))
+	}
+	return ts
 }
 
 // Ready returns an error until the instance follows a leader.
--- /dev/null
+++ b/cmd/control/app/documents.go
@@ -0,0 +1,104 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/lease"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/peer"
+)
+
+// Put implements balsampier.DocumentCommands. What is committed already, or
+// overtaken by a higher version that is, is accepted at any instance.
+func (t *Control) Put(c context.Context, d balsampier.Document) error {
+	c, cancel := context.WithTimeout(c, submitTimeout)
+	defer cancel()
+	err := t.put(c, d)
+	e := t.log.Info()
+	if balsampier.KindOf(err) == balsampier.KindNotLeader {
+		e = t.log.Debug()
+	}
+	e.Uint64("version", uint64(d.Version)).Int("bytes", len(d.Text)).Uint64("held", uint64(t.published.Load().rules.Revision)).
+		Uint64("term", uint64(t.status.Load().Term)).Err(err).Msg("document")
+	return countRefusal(err)
+}
+
+func (t *Control) put(c context.Context, d balsampier.Document) error {
+	held := t.published.Load().rules
+	switch {
+	case d.Version < held.Revision, d.Version == held.Revision && d.Text == held.Text:
+		return nil
+	case d.Version == held.Revision:
+		return errOtherDocument(d.Version)
+	case t.status.Load().Role != replicate.RoleLeader:
+		return errNotLeader()
+	}
+	e, err := peer.EncodeSubmission(balsampier.Submission{Version: d.Version, Text: d.Text, At: t.clock.Now()})
+	if err != nil {
+		return err
+	}
+	a, err := t.propose(c, e, 0)
+	if err == nil && !a.Accepted {
+		return errOtherDocument(d.Version)
+	}
+	return err
+}
+
+// Newest implements balsampier.DocumentQueries.
+func (t *Control) Newest(c context.Context) (balsampier.Document, error) {
+	f, err := t.Rules(c)
+	if err == nil && f.Revision == 0 {
+		err = balsampier.NewError(balsampier.KindUnavailable, "read document", "send a first document", nil)
+	}
+	t.log.Debug().Uint64("version", uint64(f.Revision)).Err(err).Msg("document read")
+	return balsampier.Document{Version: f.Revision, Text: f.Text}, err
+}
+
+// Leader implements balsampier.DocumentQueries.
+func (t *Control) Leader() (netip.AddrPort, bool) {
+	l := t.status.Load().Leader.Instance
+	if l == 0 || l == t.self {
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(l.Addr().Addr(), t.s.OperatorAddr.Port()), true
+}
+
+// announce keeps this instance in the view, so that members find it.
+func (t *Control) announce(c context.Context) error {
+	m := balsampier.Member{
+		ID: t.self, Name: t.s.Name, Role: balsampier.RoleControl, Incarnation: balsampier.NewIncarnation(t.clock.Now()),
+		DataCentre: t.s.DataCentre, PeerAddr: t.s.PeerAddr,
+	}
+	for c.Err() == nil {
+		x, cancel := context.WithTimeout(c, confirmTimeout)
+		p := t.published.Load()
+		_, err := t.Renew(x, balsampier.Renewal{Member: m, Applied: p.rules.Revision, Acknowledged: p.view.Epoch})
+		cancel()
+		if err != nil && c.Err() == nil {
+			t.log.Debug().Err(err).Msg("lease not renewed")
+		}
+		if balsampier.KindOf(err) == balsampier.KindConflict {
+			m.Incarnation = m.Incarnation.Later()
+		}
+		t.pause(c, lease.RenewInterval)
+	}
+	return c.Err()
+}
+
+// Reload takes over the seeds.
+func (t *Control) Reload(s Settings) {
+	ids := t.seedIDs(s.Seeds)
+	if len(ids) == 0 {
+		return
+	}
+	if err := t.inputs.Push(context.Background(), input{kind: inputSeeds, seeds: ids}); err != nil {
+		t.log.Warn().Err(err).Msg("seeds not taken over")
+	}
+}
+
+func errOtherDocument(v balsampier.Revision) error {
+	return balsampier.NewError(balsampier.KindConflict, fmt.Sprintf("accept document %d", v), "send it under a higher version; this one has other content", nil)
+}
--- /dev/null
+++ b/cmd/control/app/relay.go
@@ -0,0 +1,143 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/phuslu/log"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/command/lease"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/operator"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/platform"
+	"github.com/balsampier/balsampier/process"
+	"github.com/balsampier/balsampier/random"
+)
+
+var (
+	_ peer.ReplicaHandler         = (*Relay)(nil)
+	_ balsampier.DocumentCommands = (*Relay)(nil)
+	_ balsampier.DocumentQueries  = (*Relay)(nil)
+)
+
+type (
+	// Relay is a control instance without a data folder: it sends callers on
+	// to an instance that has one.
+	Relay struct {
+		s       Settings
+		log     *log.Logger
+		seeds   *control.Seeds
+		session *control.Session
+		member  balsampier.Member
+		links   *links
+	}
+
+	// RelayDump is the state of a relay.
+	RelayDump struct {
+		Program string         `json:"program"`
+		Name    string         `json:"name"`
+		Control control.Status `json:"control"`
+		// Leader is where callers are sent; empty while there is none.
+		Leader string `json:"leader"`
+	}
+)
+
+func runRelay(s Settings, key peer.Key, opKey []byte, o net.Listener, ps *peer.Server) error {
+	r, err := newRelay(s, key)
+	if err != nil {
+		return err
+	}
+	if err := ps.AddReplica(key, r); err != nil {
+		return err
+	}
+	h := operator.NewServer(o, opKey, r.Dump, r.Ready).AddLogLevel(r.log)
+	platform.Documents{Commands: r, Queries: r}.Register(h)
+	servers := append(r.session.Threads(), ps, h,
+		process.NewReloader(s.Path(), clock.System{}, r.log, func(n Settings) { r.seeds.Set(n.Seeds) }))
+	return process.Run(process.Program{Name: "control", Servers: servers, Logger: r.log})
+}
+
+func newRelay(s Settings, key peer.Key) (*Relay, error) {
+	k := clock.System{}
+	r := &Relay{
+		s: s, log: process.NewLogger("control", s.Name, s.Level()), seeds: control.NewSeeds(s.Seeds, s.PeerAddr.Port()),
+		links: newLinks(key, balsampier.NewAddrInstanceID(s.PeerAddr), true),
+		member: balsampier.Member{
+			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleControl,
+			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre,
+		},
+	}
+	client := peer.NewControlClient(key, r.seeds.PeerAddrs(), random.System{})
+	var err error
+	r.session, err = control.NewSession(control.Options{
+		Client: client, Clock: k, Random: random.System{}, Logger: r.log, Instances: len(s.Seeds),
+		Seeds: r.seeds.PeerAddrs, Use: client.SetInstances, Documents: true,
+		Member: func() (balsampier.Member, bool) { return r.member, true }, Changed: func(control.State) {},
+	})
+	return r, err
+}
+
+// Put implements balsampier.DocumentCommands.
+func (r *Relay) Put(context.Context, balsampier.Document) error { return errNotLeader() }
+
+// Newest implements balsampier.DocumentQueries.
+func (r *Relay) Newest(context.Context) (balsampier.Document, error) {
+	return balsampier.Document{}, errNotLeader()
+}
+
+// Leader implements balsampier.DocumentQueries: it names the instance that
+// this one follows.
+func (r *Relay) Leader() (netip.AddrPort, bool) {
+	a, ok := r.session.Watched()
+	return netip.AddrPortFrom(a.Addr(), r.s.OperatorAddr.Port()), ok
+}
+
+// Ready returns an error until an instance with a data folder is reached.
+func (r *Relay) Ready() error {
+	if _, ok := r.session.Watched(); !ok {
+		return balsampier.NewError(balsampier.KindUnavailable, "check readiness", "wait until a control instance is reached", nil)
+	}
+	return nil
+}
+
+// Dump returns the state for operators.
+func (r *Relay) Dump() any {
+	d := RelayDump{Program: "control", Name: r.s.Name, Control: r.session.Status()}
+	if a, ok := r.Leader(); ok {
+		d.Leader = a.String()
+	}
+	return d
+}
+
+// Step implements peer.ReplicaHandler: an instance without a disk is none to
+// found a log with.
+func (r *Relay) Step(c context.Context, ms []replicate.Message) error {
+	for _, m := range ms {
+		p, ok := r.links.get(m.From.Instance)
+		if !ok || m.Kind != replicate.MessageBootstrapVote && m.Kind != replicate.MessageJoin {
+			continue
+		}
+		x, cancel := context.WithTimeout(c, stepTimeout)
+		err := p.caller.Step(x, []replicate.Message{{
+			Kind: replicate.MessageDecline, From: balsampier.Replica{Instance: r.links.self}, To: m.From,
+		}})
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PassDigest implements peer.ReplicaHandler.
+func (r *Relay) PassDigest(context.Context, lease.Digest) (lease.Receipt, error) {
+	return lease.Receipt{}, errNotLeader()
+}
+
+// ReadIndex implements peer.ReplicaHandler.
+func (r *Relay) ReadIndex(context.Context) (balsampier.Index, error) { return 0, errNotLeader() }
--- /dev/null
+++ b/command/direct/agents.go
@@ -0,0 +1,240 @@
+package direct
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// loadFor is how long a reported load counts.
+	loadFor = 5 * time.Second
+	// farCost is what an agent in another data centre counts as more flows on
+	// each slot: traffic between data centres has a price.
+	farCost = 0.35
+	// coldCost is the same for a server that has just come into the view.
+	coldCost = 1.0
+	// coldFor is how long a server counts as cold.
+	coldFor = 2 * time.Second
+)
+
+type (
+	// agents are those of the view, and those that left it lately.
+	agents struct {
+		byAddr  map[netip.AddrPort]*agent
+		service map[balsampier.ServiceName][]*agent
+	}
+
+	agent struct {
+		addr    netip.AddrPort
+		service balsampier.ServiceName
+		zone    balsampier.DataCentre
+		slots   int
+		// draining agents take no new flows.
+		draining bool
+		// left is when the agent left the view; zero while it is in it.
+		left time.Time
+		// joined is when the agent came into the view.
+		joined time.Time
+		// load is the newest that the agent reported, at loadAt; recent counts
+		// the flows placed there since.
+		load   balsampier.Load
+		loadAt time.Time
+		recent int
+		// suspectUntil is until when the agent is chosen last.
+		suspectUntil time.Time
+	}
+)
+
+func newAgents() agents { return agents{byAddr: make(map[netip.AddrPort]*agent)} }
+
+// AdoptView takes over a newer view at time t.
+func (d *Director) AdoptView(v balsampier.View, t time.Time) {
+	g := &d.agents
+	seen := make(map[netip.AddrPort]bool, len(v.Members))
+	for _, m := range v.Members {
+		if m.Role != balsampier.RoleAgent {
+			continue
+		}
+		a := g.byAddr[m.Addr]
+		if a == nil || a.service != m.Service {
+			a = &agent{addr: m.Addr, service: m.Service, joined: t}
+			g.byAddr[m.Addr] = a
+		}
+		// Of two members at one address the one that takes flows counts.
+		if !seen[m.Addr] || !m.Draining {
+			a.zone, a.slots, a.draining, a.left = m.DataCentre, max(m.Slots, 1), m.Draining, time.Time{}
+		}
+		seen[m.Addr] = true
+	}
+	for k, a := range g.byAddr {
+		if !seen[k] && a.left.IsZero() {
+			a.left = t
+		}
+	}
+	g.index()
+}
+
+func (g *agents) index() {
+	g.service = make(map[balsampier.ServiceName][]*agent)
+	for _, a := range g.byAddr {
+		g.service[a.service] = append(g.service[a.service], a)
+	}
+	for _, as := range g.service {
+		slices.SortFunc(as, func(x, y *agent) int { return x.addr.Compare(y.addr) })
+	}
+}
+
+// sweep forgets agents that left long ago.
+func (g *agents) sweep(t time.Time) {
+	n := len(g.byAddr)
+	for k, a := range g.byAddr {
+		if !a.left.IsZero() && t.Sub(a.left) > departedFor {
+			delete(g.byAddr, k)
+		}
+	}
+	if len(g.byAddr) != n {
+		g.index()
+	}
+}
+
+// choose returns the agent for a new flow, and how many there were to choose
+// from: the least loaded of the first in the order of the flow.
+func (g *agents) choose(f *flow, zone balsampier.DataCentre, t time.Time) (netip.AddrPort, int) {
+	var fit, doubtful []*agent
+	for _, a := range g.service[f.service] {
+		switch {
+		case a.draining || !a.left.IsZero() || slices.Contains(f.tried, a.addr):
+		case t.Before(a.suspectUntil):
+			doubtful = append(doubtful, a)
+		default:
+			fit = append(fit, a)
+		}
+	}
+	n := len(fit) + len(doubtful)
+	if len(fit) == 0 {
+		fit = doubtful
+	}
+	if len(fit) == 0 {
+		return netip.AddrPort{}, n
+	}
+	fit = first(f.segment.Key, fit)
+	return slices.MinFunc(fit, func(x, y *agent) int { return cmp.Compare(x.cost(zone, t), y.cost(zone, t)) }).addr, n
+}
+
+// first returns the agents that come first in the order of the flow.
+func first(k balsampier.FlowKey, as []*agent) []*agent {
+	type ranked struct {
+		a    *agent
+		rank uint64
+	}
+	rs := make([]ranked, len(as))
+	for i, a := range as {
+		rs[i] = ranked{a: a, rank: k.Rank(a.addr)}
+	}
+	slices.SortFunc(rs, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
+	rs = rs[:min(len(rs), firstAsked)]
+	out := make([]*agent, len(rs))
+	for i, r := range rs {
+		out[i] = r.a
+	}
+	return out
+}
+
+// cost is the load on a slot after one more flow.
+func (a *agent) cost(zone balsampier.DataCentre, t time.Time) float64 {
+	n := a.recent
+	if t.Sub(a.loadAt) < loadFor {
+		n += a.load.Connections + a.load.Running
+	}
+	c := float64(n+1) / float64(a.slots)
+	if a.zone != zone {
+		c += farCost
+	}
+	if t.Sub(a.joined) < coldFor {
+		c += coldCost
+	}
+	return c
+}
+
+// likely returns the agents that most likely have a flow.
+func (g *agents) likely(k balsampier.FlowKey, ss []balsampier.ServiceName, not []netip.AddrPort, t time.Time) []netip.AddrPort {
+	var as []*agent
+	for _, s := range ss {
+		for _, a := range g.service[s] {
+			if a.left.IsZero() && !t.Before(a.suspectUntil) {
+				as = append(as, a)
+			}
+		}
+	}
+	return without(addrs(first(k, as)), not)
+}
+
+// others returns the agents that may have a flow and are not likely to: those
+// of the services, and all others where they are few.
+func (g *agents) others(k balsampier.FlowKey, ss []balsampier.ServiceName, not []netip.AddrPort, t time.Time) []netip.AddrPort {
+	asked := append(slices.Clone(not), g.likely(k, ss, nil, t)...)
+	var as []*agent
+	for s, l := range g.service {
+		if len(g.byAddr) <= maxAskedAll || slices.Contains(ss, s) {
+			as = append(as, l...)
+		}
+	}
+	return without(addrs(as), asked)
+}
+
+// heard takes in the load of an agent that answered.
+func (g *agents) heard(from netip.AddrPort, r balsampier.Relay, t time.Time) {
+	a := g.byAddr[from]
+	if a == nil {
+		return
+	}
+	if r.Load.Slots > 0 {
+		a.load, a.loadAt, a.recent = r.Load, t, 0
+	}
+	switch {
+	case r.Kind == balsampier.RelayTook:
+		a.suspectUntil = time.Time{}
+	case r.Kind == balsampier.RelayRefused && (r.Reason == balsampier.ReasonSilent || r.Reason == balsampier.ReasonFull):
+		a.suspectUntil = t.Add(suspectFor)
+	case r.Kind == balsampier.RelayRefused && r.Reason == balsampier.ReasonDraining:
+		a.draining = true
+	}
+}
+
+func (g *agents) placed(to netip.AddrPort) {
+	if a := g.byAddr[to]; a != nil {
+		a.recent++
+	}
+}
+
+func (g *agents) suspect(to netip.AddrPort, t time.Time) {
+	if a := g.byAddr[to]; a != nil {
+		a.suspectUntil = t.Add(suspectFor)
+	}
+}
+
+func addrs(as []*agent) []netip.AddrPort {
+	out := make([]netip.AddrPort, len(as))
+	for i, a := range as {
+		out[i] = a.addr
+	}
+	return out
+}
+
+func without(as, not []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(as, func(a netip.AddrPort) bool { return slices.Contains(not, a) })
+}
+
+// drop removes a from as and reports whether it was there.
+func drop(as *[]netip.AddrPort, a netip.AddrPort) bool {
+	i := slices.Index(*as, a)
+	if i < 0 {
+		return false
+	}
+	*as = slices.Delete(*as, i, i+1)
+	return true
+}
--- /dev/null
+++ b/command/direct/direct.go
@@ -0,0 +1,536 @@
+// Package direct decides, at a balancer, what becomes of packets whose flow is
+// not named in them: which agent a new flow goes to, and who has a flow that
+// the balancer does not know. It is a pure state machine: packets, answers and
+// times go in; relays, resets and notes come out.
+package direct
+
+import (
+	"bytes"
+	"net/netip"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// MaxParked bounds the packets of one flow that wait for its holder: a
+	// client has 16 in flight.
+	MaxParked = 16
+	// maxParkedAll bounds the waiting packets of all flows, at about 1.2 KB
+	// each 5 MB.
+	maxParkedAll = 4096
+	// maxFlows bounds the remembered flows; 41 million over 1,200 balancers
+	// are 34,000, at about 300 bytes each.
+	maxFlows = 120_000
+
+	// openTimeout is how long an agent may take to answer to an opening
+	// packet. It is several round trips within a region and a fraction of the
+	// 200 ms after which a client repeats itself.
+	openTimeout = 40 * time.Millisecond
+	// askTimeout bounds the wait for the answers to a question.
+	askTimeout = 40 * time.Millisecond
+	// tryTimeout is how long a server may take to return a packet.
+	tryTimeout = 30 * time.Millisecond
+	// againAfter spaces questions after a flow that nobody had: a client
+	// repeats a packet after 200 ms at first.
+	againAfter = 150 * time.Millisecond
+	// suspectFor is how long an agent that was silent or whose server was is
+	// asked last.
+	suspectFor = time.Second
+	// endedFor is how long a flow is remembered after a reset.
+	endedFor = 5 * time.Second
+	// defaultIdle is how long a flow may be silent where the routes do not
+	// say, the longest that they have said so far twice over.
+	defaultIdle = 30 * time.Second
+	// departedFor is how long an agent that left the view is still asked: the
+	// longest life of a flow.
+	departedFor = 60 * time.Second
+	// sweepInterval spaces the search for flows to forget.
+	sweepInterval = 2 * time.Second
+
+	// firstAsked is how many agents are asked or weighed first.
+	firstAsked = 3
+	// maxAskedAll bounds the agents of other services that are asked at last.
+	maxAskedAll = 128
+)
+
+const (
+	opening state = iota
+	open
+	asking
+	trying
+	nobody
+)
+
+type (
+	state uint8
+
+	// Director holds the flows of one balancer. It is serialized by its
+	// caller.
+	Director struct {
+		zone   balsampier.DataCentre
+		routes routes
+		agents agents
+		flows  map[balsampier.FlowKey]*flow
+		// parked counts the waiting packets of all flows.
+		parked int
+		// due has an entry for every deadline, in order of time.
+		due []deadline
+		// sweepAt is when to look for flows to forget.
+		sweepAt time.Time
+		// out and taken swap, so that nothing is allocated for each packet.
+		out, taken []Action
+	}
+
+	// flow is what the director knows of one flow.
+	flow struct {
+		// segment is the newest packet of the client.
+		segment balsampier.Segment
+		state   state
+		// agent is where packets go; invalid unless the state is opening or
+		// open.
+		agent netip.AddrPort
+		// service is the one that the flow was placed in; empty for flows
+		// that were found.
+		service balsampier.ServiceName
+		// used is when the newest packet came, since when the first did.
+		used, since time.Time
+		// attempt numbers what is waited for; answers to earlier attempts of
+		// the same kind are told apart by the agent.
+		attempt uint32
+		// packets wait: the opening one while the state is opening.
+		packets [][]byte
+		// tried are agents that refused or did not answer.
+		tried []netip.AddrPort
+		// refused is true when an agent answered that it does not take it.
+		refused bool
+		// waiting are the agents asked that have not answered; unsure those
+		// that do not know; wide is true once all were asked.
+		waiting, unsure []netip.AddrPort
+		wide            bool
+		// silent is true when an agent that was asked did not answer.
+		silent bool
+	}
+
+	deadline struct {
+		at      time.Time
+		key     balsampier.FlowKey
+		attempt uint32
+	}
+
+	// Action is one thing to do.
+	Action struct {
+		// To gets Relay; invalid where Reset is set or the action is a note.
+		To    netip.AddrPort
+		Relay balsampier.Relay
+		// Reset is answered to the client.
+		Reset *balsampier.Segment
+		// Note is what was decided; its Event is empty where there is nothing
+		// to tell.
+		Note Note
+	}
+
+	// Note tells of one decision.
+	Note struct {
+		Event   string
+		Flow    balsampier.FlowKey
+		Segment balsampier.Segment
+		Service balsampier.ServiceName
+		Agent   netip.AddrPort
+		Reason  balsampier.Reason
+		// Candidates is how many agents there were to choose from.
+		Candidates int
+		// Revision is that of the routes behind the decision.
+		Revision balsampier.Revision
+	}
+)
+
+// New returns the director of a balancer in the given data centre.
+func New(zone balsampier.DataCentre) *Director {
+	return &Director{zone: zone, flows: make(map[balsampier.FlowKey]*flow), agents: newAgents()}
+}
+
+// Take returns what is to be done, in order. The slice is valid until the next
+// call of Take.
+func (d *Director) Take() []Action {
+	out := d.out
+	d.out, d.taken = d.taken[:0], out
+	return out
+}
+
+// Next returns when to call Tick; ok is false while nothing is waited for.
+func (d *Director) Next() (time.Time, bool) {
+	if len(d.due) == 0 {
+		return time.Time{}, false
+	}
+	return d.due[0].at, true
+}
+
+// Flows returns how many flows are remembered.
+func (d *Director) Flows() int { return len(d.flows) }
+
+// Packet decides on a packet of a client. b is kept where the packet has to
+// wait.
+func (d *Director) Packet(s balsampier.Segment, b []byte, t time.Time) {
+	f, ok := d.flows[s.Key]
+	if ok && t.Sub(f.used) > d.idle() {
+		d.forget(s.Key, f)
+		ok = false
+	}
+	if !ok {
+		d.first(s, b, t)
+		return
+	}
+	f.segment, f.used = s, t
+	switch {
+	case s.Opening && f.state == opening:
+		d.relay(f, balsampier.RelayOpen, f.agent, b)
+	case f.state == open || f.state == opening:
+		d.deliver(f, b)
+	case f.state == nobody && t.Sub(f.since) < againAfter:
+		d.note("dropped", f, f.agent, balsampier.ReasonUnknownFlow, 0)
+	case f.state == nobody && s.Opening:
+		d.forget(s.Key, f)
+		d.first(s, b, t)
+	case f.state == nobody:
+		d.park(f, b)
+		d.ask(f, t)
+	default:
+		d.park(f, b)
+	}
+}
+
+// first decides on the first packet that is seen of a flow.
+func (d *Director) first(s balsampier.Segment, b []byte, t time.Time) {
+	r, ok := d.routes.find(s.Service)
+	if !ok {
+		d.noRoute(s)
+		return
+	}
+	if len(d.flows) >= maxFlows || s.Reset && s.Opening {
+		d.out = append(d.out, Action{Note: Note{Event: "dropped", Flow: s.Key, Segment: s, Reason: balsampier.ReasonFull}})
+		return
+	}
+	f := &flow{segment: s, used: t, since: t}
+	d.flows[s.Key] = f
+	d.park(f, b)
+	if s.Opening {
+		f.service = r.choose(s.Key)
+		d.place(f, t)
+		return
+	}
+	d.ask(f, t)
+}
+
+// noRoute resets flows that cannot be opened. Other packets may belong to a
+// flow of a route that is gone, which its ends close.
+func (d *Director) noRoute(s balsampier.Segment) {
+	n := Note{Event: "dropped", Flow: s.Key, Segment: s, Reason: balsampier.ReasonNoRule, Revision: d.routes.revision}
+	if s.Opening && d.routes.revision > 0 {
+		n.Event = "reset"
+		d.out = append(d.out, Action{Reset: &s, Note: n})
+		return
+	}
+	d.out = append(d.out, Action{Note: n})
+}
+
+// place sends the opening packet to the next agent.
+func (d *Director) place(f *flow, t time.Time) {
+	a, n := d.agents.choose(f, d.zone, t)
+	if !a.IsValid() {
+		a, n = d.chooseOther(f, t)
+	}
+	if !a.IsValid() {
+		d.giveUp(f, n)
+		return
+	}
+	f.state, f.agent = opening, a
+	f.attempt++
+	d.agents.placed(a)
+	d.wait(f, t, openTimeout)
+	d.relay(f, balsampier.RelayOpen, a, f.packets[0])
+	d.note("placed", f, a, balsampier.ReasonNone, n)
+}
+
+// chooseOther looks for an agent of the other services of the route.
+func (d *Director) chooseOther(f *flow, t time.Time) (netip.AddrPort, int) {
+	r, ok := d.routes.find(f.segment.Service)
+	if !ok {
+		return netip.AddrPort{}, 0
+	}
+	for _, g := range r.targets {
+		if g.Weight == 0 || g.Service == f.service {
+			continue
+		}
+		o := f.service
+		f.service = g.Service
+		if a, n := d.agents.choose(f, d.zone, t); a.IsValid() {
+			return a, n
+		}
+		f.service = o
+	}
+	return netip.AddrPort{}, 0
+}
+
+// giveUp resets a flow that no agent took. Nothing of it has run: it never
+// opened.
+func (d *Director) giveUp(f *flow, n int) {
+	s := f.segment
+	r := balsampier.ReasonNoBackendServer
+	if !f.refused && len(f.tried) > 0 {
+		r = balsampier.ReasonSilent
+	}
+	d.note("reset", f, netip.AddrPort{}, r, n)
+	d.out = append(d.out, Action{Reset: &s})
+	d.forget(s.Key, f)
+}
+
+func (d *Director) deliver(f *flow, b []byte) {
+	d.relay(f, balsampier.RelayDeliver, f.agent, b)
+	if f.segment.Reset {
+		f.used = f.used.Add(endedFor - d.idle())
+	}
+}
+
+// Answer takes in what an agent says.
+func (d *Director) Answer(from netip.AddrPort, r balsampier.Relay, t time.Time) {
+	d.agents.heard(from, r, t)
+	f, ok := d.flows[r.Flow]
+	if !ok {
+		return
+	}
+	switch r.Kind {
+	case balsampier.RelayTook:
+		if f.state == opening && f.agent == from {
+			f.state = open
+			d.unpark(f)
+		}
+	case balsampier.RelayRefused:
+		d.refused(f, from, r, t)
+	case balsampier.RelayMine:
+		d.found(f, from)
+	case balsampier.RelayNotMine, balsampier.RelayUnsure:
+		d.denied(f, from, r, t)
+	}
+}
+
+func (d *Director) refused(f *flow, from netip.AddrPort, r balsampier.Relay, t time.Time) {
+	if f.agent != from || (f.state != opening && f.state != open) {
+		return
+	}
+	if len(f.packets) == 0 {
+		// The server returned the opening packet after the agent took it.
+		if len(r.Payload) == 0 {
+			return
+		}
+		d.park(f, r.Payload)
+	}
+	if len(f.packets) == 0 {
+		return
+	}
+	f.refused = true
+	f.tried = append(f.tried, from)
+	d.note("refused", f, from, r.Reason, 0)
+	d.place(f, t)
+}
+
+// found takes in who has the flow and hands over what waits.
+func (d *Director) found(f *flow, from netip.AddrPort) {
+	if f.state == open && f.agent == from {
+		return
+	}
+	d.note("found", f, from, balsampier.ReasonNone, 0)
+	f.state, f.agent = open, from
+	f.attempt++
+	for _, b := range f.packets {
+		d.relay(f, balsampier.RelayDeliver, from, b)
+	}
+	d.unpark(f)
+}
+
+// denied takes in that an agent does not have the flow, or does not know. An
+// answer that returns a packet may come for a flow that was thought to be
+// there.
+func (d *Director) denied(f *flow, from netip.AddrPort, r balsampier.Relay, t time.Time) {
+	switch f.state {
+	case open, opening:
+		switch {
+		case len(r.Payload) == 0:
+		case f.agent == from:
+			d.note("denied", f, from, balsampier.ReasonUnknownFlow, 0)
+			f.tried = append(f.tried[:0], from)
+			d.unpark(f)
+			d.park(f, r.Payload)
+			d.ask(f, t)
+		default:
+			d.relay(f, balsampier.RelayDeliver, f.agent, r.Payload)
+		}
+	case asking:
+		if len(r.Payload) > 0 {
+			d.park(f, r.Payload)
+		}
+		if !drop(&f.waiting, from) {
+			return
+		}
+		if r.Kind == balsampier.RelayUnsure {
+			f.unsure = append(f.unsure, from)
+		}
+		if len(f.waiting) == 0 {
+			d.answered(f, t)
+		}
+	case trying:
+		if f.agent == from {
+			d.try(f, t)
+		}
+	}
+}
+
+// ask asks the likeliest agents who has the flow.
+func (d *Director) ask(f *flow, t time.Time) {
+	f.state, f.agent, f.wide, f.silent = asking, netip.AddrPort{}, false, false
+	f.unsure, f.waiting = nil, nil
+	f.since = t
+	services := d.routes.services(f.segment.Service)
+	d.question(f, d.agents.likely(f.segment.Key, services, f.tried, t), t)
+}
+
+// question asks the agents given, and goes on at once where there are none.
+func (d *Director) question(f *flow, as []netip.AddrPort, t time.Time) {
+	f.attempt++
+	f.waiting = append(f.waiting[:0], as...)
+	if len(as) == 0 {
+		d.answered(f, t)
+		return
+	}
+	d.wait(f, t, askTimeout)
+	for _, a := range as {
+		d.relay(f, balsampier.RelayAsk, a, f.packets[0])
+	}
+}
+
+// answered goes on when all that were asked answered or their time is up.
+func (d *Director) answered(f *flow, t time.Time) {
+	if len(f.waiting) > 0 {
+		f.silent = true
+	}
+	if !f.wide {
+		f.wide = true
+		services := d.routes.services(f.segment.Service)
+		d.question(f, d.agents.others(f.segment.Key, services, f.tried, t), t)
+		return
+	}
+	d.try(f, t)
+}
+
+// try gives the first packet to the next agent that does not know.
+func (d *Director) try(f *flow, t time.Time) {
+	if len(f.unsure) == 0 || len(f.packets) == 0 {
+		d.note("lost", f, netip.AddrPort{}, balsampier.ReasonUnknownFlow, 0)
+		f.state, f.since, f.agent = nobody, t, netip.AddrPort{}
+		f.tried = f.tried[:0]
+		d.unpark(f)
+		return
+	}
+	a := f.unsure[0]
+	f.unsure = f.unsure[1:]
+	f.state, f.agent = trying, a
+	f.attempt++
+	d.wait(f, t, tryTimeout)
+	d.relay(f, balsampier.RelayTry, a, f.packets[0])
+	d.note("tried", f, a, balsampier.ReasonNone, len(f.unsure))
+}
+
+// Tick takes in that time has passed.
+func (d *Director) Tick(t time.Time) {
+	for len(d.due) > 0 && !t.Before(d.due[0].at) {
+		e := d.due[0]
+		d.due = d.due[1:]
+		f, ok := d.flows[e.key]
+		if ok && f.attempt == e.attempt {
+			d.expire(f, t)
+		}
+	}
+	if t.Before(d.sweepAt) {
+		return
+	}
+	d.sweepAt = t.Add(sweepInterval)
+	for k, f := range d.flows {
+		if t.Sub(f.used) > d.idle() {
+			d.forget(k, f)
+		}
+	}
+	d.agents.sweep(t)
+}
+
+// expire goes on with a flow whose answer did not come in time.
+func (d *Director) expire(f *flow, t time.Time) {
+	switch f.state {
+	case opening:
+		d.agents.suspect(f.agent, t)
+		d.note("silent", f, f.agent, balsampier.ReasonSilent, 0)
+		f.tried = append(f.tried, f.agent)
+		d.place(f, t)
+	case asking:
+		for _, a := range f.waiting {
+			d.note("silent", f, a, balsampier.ReasonSilent, 0)
+		}
+		d.answered(f, t)
+	case trying:
+		// A server that does not hold the flow had returned the packet.
+		a := f.agent
+		f.packets = f.packets[1:]
+		d.parked--
+		d.found(f, a)
+	}
+}
+
+func (d *Director) wait(f *flow, t time.Time, w time.Duration) {
+	e := deadline{at: t.Add(w), key: f.segment.Key, attempt: f.attempt}
+	i := len(d.due)
+	for i > 0 && d.due[i-1].at.After(e.at) {
+		i--
+	}
+	d.due = append(d.due, deadline{})
+	copy(d.due[i+1:], d.due[i:])
+	d.due[i] = e
+}
+
+func (d *Director) relay(f *flow, k balsampier.RelayKind, to netip.AddrPort, b []byte) {
+	r := balsampier.Relay{Kind: k, Flow: f.segment.Key, Revision: d.routes.revision, Payload: b}
+	if k == balsampier.RelayOpen {
+		r.Service = f.service.Hash()
+	}
+	d.out = append(d.out, Action{To: to, Relay: r})
+}
+
+func (d *Director) note(event string, f *flow, a netip.AddrPort, r balsampier.Reason, n int) {
+	d.out = append(d.out, Action{Note: Note{
+		Event: event, Flow: f.segment.Key, Segment: f.segment, Service: f.service, Agent: a, Reason: r,
+		Candidates: n, Revision: d.routes.revision,
+	}})
+}
+
+// park keeps a copy of a packet.
+func (d *Director) park(f *flow, b []byte) {
+	if len(f.packets) < MaxParked && d.parked < maxParkedAll {
+		f.packets = append(f.packets, bytes.Clone(b))
+		d.parked++
+	}
+}
+
+func (d *Director) unpark(f *flow) {
+	d.parked -= len(f.packets)
+	f.packets = nil
+}
+
+func (d *Director) forget(k balsampier.FlowKey, f *flow) {
+	d.unpark(f)
+	delete(d.flows, k)
+}
+
+func (d *Director) idle() time.Duration {
+	if d.routes.idle > 0 {
+		return 2 * d.routes.idle
+	}
+	return defaultIdle
+}
--- a/command/follow/follow.go
+++ b/command/follow/follow.go
@@ -35,7 +35,7 @@
 )
 
 // reconnect spaces attempts to reach a control instance.
-var reconnect = backoff.Policy{Base: 200 * time.Millisecond, Cap: 10 * time.Second}
+var reconnect = backoff.Policy{Base: 200 * time.Millisecond, Cap: 2 * time.Second}
 
 type (
 	// State tells how a follower stands with control.
@@ -100,6 +100,12 @@
 	return &Follower{instances: n, instance: int(r.Uint64() % uint64(n)), retryAt: t}
 }
 
+// SetInstances changes how many control instances there are; n is positive.
+func (f *Follower) SetInstances(n int) {
+	f.instances = n
+	f.instance %= n
+}
+
 // Due returns the time of the next call of Connect or Expire.
 func (f *Follower) Due() time.Time {
 	if f.state == StateWaiting {
--- /dev/null
+++ b/command/hold/hold.go
@@ -0,0 +1,419 @@
+// Package hold decides, at an agent, which flows the backend server beside it
+// has and whether it takes new ones. It is a pure state machine: relays,
+// packets of the server, its heartbeats and times go in; packets, answers and
+// notes come out.
+package hold
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// answerTimeout is how long a server may take to answer an opening packet
+	// before it counts as silent; a handshake takes a few milliseconds.
+	answerTimeout = 30 * time.Millisecond
+	// probeInterval spaces opening packets to a silent server, which find out
+	// whether it is back.
+	probeInterval = 200 * time.Millisecond
+	// halfOpenFor is how long an opening is remembered: a client gives it up
+	// after 1.4 s.
+	halfOpenFor = 4 * time.Second
+	// endedFor is how long an ended flow is remembered: its ends repeat their
+	// last packets for some seconds.
+	endedFor = 15 * time.Second
+	// idleFor is how long a silent flow is remembered; it exceeds the idle
+	// time-outs of routes.
+	idleFor = 60 * time.Second
+	// learnFor is how long an agent that started after its server may lack
+	// flows that the server has: the longest life of a flow.
+	learnFor = 60 * time.Second
+	// clockSlack covers steps of the time of day between the starts of server
+	// and agent.
+	clockSlack = 10 * time.Second
+	// sweepInterval spaces the search for flows to forget.
+	sweepInterval = 2 * time.Second
+	// maxFlows bounds the remembered flows; servers hold some thousands.
+	maxFlows = 50_000
+	// ackWindow is how far an acknowledgement may be ahead of the server's
+	// first number: 64 packets of 1,200 bytes.
+	ackWindow = 76_800
+)
+
+const (
+	half state = iota
+	open
+	ended
+)
+
+type (
+	state uint8
+
+	// Config sets up a Holder.
+	Config struct {
+		Service balsampier.ServiceName
+		// Fresh is true where the agent surely started before any flow.
+		Fresh bool
+		// Started is when the agent started, by the time of day.
+		Started time.Time
+		// Allowed reports whether the newest routes that the agent knows, of
+		// the given revision, send new flows to the service at to.
+		Allowed func(to netip.AddrPort) (bool, balsampier.Revision)
+	}
+
+	// Holder is the state of one agent. It is serialized by its caller.
+	Holder struct {
+		g      Config
+		server server
+		flows  map[balsampier.FlowKey]*flow
+		// open and running count flows and those with a request under way.
+		open, running int
+		due           []deadline
+		sweepAt       time.Time
+		// learnedAt is when the agent knows all flows.
+		learnedAt  time.Time
+		out, taken []Action
+	}
+
+	flow struct {
+		segment balsampier.Segment
+		state   state
+		// sequence is the server's first number, where answered is true.
+		sequence uint32
+		answered bool
+		// via is the balancer that sent the newest packet.
+		via netip.AddrPort
+		// used is when the newest packet was seen, either way.
+		used time.Time
+		// running is true from a request until its answer begins.
+		running bool
+		// run is the run of the server that has the flow.
+		run uint64
+	}
+
+	deadline struct {
+		at  time.Time
+		key balsampier.FlowKey
+	}
+
+	// Action is one thing to do; one of the fields is set, and Note beside it.
+	Action struct {
+		// ToServer is delivered to the server.
+		ToServer []byte
+		// ToClient is sent to Client.
+		ToClient []byte
+		Client   netip.AddrPort
+		// Answer is sent to To.
+		Answer balsampier.Relay
+		To     netip.AddrPort
+		// Reset is sent to the client.
+		Reset *balsampier.Segment
+		Note  Note
+	}
+
+	// Note tells of one decision; its Event is empty where there is nothing to
+	// tell.
+	Note struct {
+		Event    string
+		Flow     balsampier.FlowKey
+		Segment  balsampier.Segment
+		Balancer netip.AddrPort
+		Reason   balsampier.Reason
+		// Revision is that of the balancer's routes, Own the agent's.
+		Revision, Own balsampier.Revision
+	}
+)
+
+// New returns the holder of an agent that starts at time t.
+func New(g Config, t time.Time) *Holder {
+	return &Holder{g: g, flows: make(map[balsampier.FlowKey]*flow), learnedAt: t.Add(learnFor)}
+}
+
+// Take returns what is to be done, in order. The slice is valid until the next
+// call of Take.
+func (h *Holder) Take() []Action {
+	out := h.out
+	h.out, h.taken = h.taken[:0], out
+	return out
+}
+
+// Next returns when to call Tick; ok is false while nothing is waited for.
+func (h *Holder) Next() (time.Time, bool) {
+	if len(h.due) == 0 {
+		return time.Time{}, false
+	}
+	return h.due[0].at, true
+}
+
+// Load returns the load of the server.
+func (h *Holder) Load() balsampier.Load {
+	return balsampier.Load{Connections: h.open, Running: h.running, Slots: max(h.server.state.Slots, 1)}
+}
+
+// Relay decides on what a balancer sent. s is read from the payload.
+func (h *Holder) Relay(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, t time.Time) {
+	f := h.flows[r.Flow]
+	if f != nil && h.expired(f, t) {
+		h.forget(r.Flow, f)
+		f = nil
+	}
+	switch r.Kind {
+	case balsampier.RelayOpen:
+		h.take(from, r, s, f, t)
+	case balsampier.RelayDeliver:
+		h.deliver(from, r, s, f, t)
+	case balsampier.RelayTry:
+		h.try(from, r, s, f, t)
+	case balsampier.RelayAsk:
+		h.answer(from, h.standing(f, s, t), r.Flow, balsampier.ReasonNone, nil)
+	}
+}
+
+// take decides on an opening packet.
+func (h *Holder) take(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
+	if f != nil && f.run == h.server.run && (f.state == open || f.answered) {
+		f.via, f.used = from, t
+		h.toServer(r.Payload)
+		h.answer(from, balsampier.RelayTook, r.Flow, balsampier.ReasonNone, nil)
+		return
+	}
+	if v := h.refusal(r, s, t); v != balsampier.ReasonNone {
+		h.answer(from, balsampier.RelayRefused, r.Flow, v, nil)
+		h.note("refused", s, from, v, r.Revision)
+		return
+	}
+	if f == nil {
+		f = &flow{}
+		h.flows[r.Flow] = f
+	}
+	f.segment, f.via, f.used, f.run, f.state, f.answered = s, from, t, h.server.run, half, false
+	h.server.asked(t)
+	h.due = append(h.due, deadline{at: t.Add(answerTimeout), key: r.Flow})
+	h.toServer(r.Payload)
+	h.answer(from, balsampier.RelayTook, r.Flow, balsampier.ReasonNone, nil)
+	h.note("taken", s, from, balsampier.ReasonNone, r.Revision)
+}
+
+// refusal returns why the server takes no new flow, or ReasonNone.
+func (h *Holder) refusal(r balsampier.Relay, s balsampier.Segment, t time.Time) balsampier.Reason {
+	v := &h.server
+	allowed, revision := h.g.Allowed(s.Service)
+	switch {
+	case !v.here:
+		return balsampier.ReasonNoBackendServer
+	case r.Service != h.g.Service.Hash() || v.state.Service != h.g.Service:
+		return balsampier.ReasonService
+	case v.state.Draining:
+		return balsampier.ReasonDraining
+	case revision > r.Revision && !allowed:
+		return balsampier.ReasonRevision
+	case len(h.flows) >= maxFlows:
+		return balsampier.ReasonFull
+	case v.silent && t.Before(v.probeAt):
+		return balsampier.ReasonSilent
+	}
+	return balsampier.ReasonNone
+}
+
+// deliver decides on a packet of a flow that the balancer thinks is here.
+func (h *Holder) deliver(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
+	if f != nil && f.run != h.server.run && h.server.here {
+		// A later run of the server shows that the flow has ended.
+		h.out = append(h.out, Action{Reset: &s})
+		h.note("reset", s, from, balsampier.ReasonHolderGone, r.Revision)
+		return
+	}
+	k := h.standing(f, s, t)
+	if k == balsampier.RelayNotMine {
+		h.answer(from, k, r.Flow, balsampier.ReasonNone, r.Payload)
+		h.note("denied", s, from, balsampier.ReasonUnknownFlow, r.Revision)
+		return
+	}
+	// Where the agent does not know, the balancer had it from this agent's
+	// earlier run.
+	h.hand(from, r, s, f, t)
+}
+
+// try delivers a packet of a flow that nobody is known to have.
+func (h *Holder) try(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
+	if h.standing(f, s, t) == balsampier.RelayNotMine {
+		h.answer(from, balsampier.RelayNotMine, r.Flow, balsampier.ReasonNone, nil)
+		return
+	}
+	h.hand(from, r, s, f, t)
+	h.note("tried", s, from, balsampier.ReasonNone, r.Revision)
+}
+
+// hand delivers a packet of an open flow.
+func (h *Holder) hand(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
+	if f == nil {
+		f = &flow{run: h.server.run}
+		h.flows[r.Flow] = f
+	}
+	f.segment, f.via, f.used = s, from, t
+	if f.state == half {
+		f.state = open
+		h.open++
+	}
+	if s.Length > 0 && !f.running {
+		f.running = true
+		h.running++
+	}
+	if s.Reset || s.Final {
+		h.end(f)
+	}
+	h.toServer(r.Payload)
+}
+
+// standing tells whether the server has the flow that s belongs to.
+func (h *Holder) standing(f *flow, s balsampier.Segment, t time.Time) balsampier.RelayKind {
+	v := &h.server
+	switch {
+	case f != nil && f.run != v.run:
+		return balsampier.RelayNotMine
+	case f != nil && f.state == half && !f.answered:
+		return balsampier.RelayNotMine
+	case f != nil && f.state == half && s.Ack && s.Acknowledged-f.sequence > ackWindow:
+		// The client opened the flow at another server.
+		return balsampier.RelayNotMine
+	case f != nil:
+		return balsampier.RelayMine
+	case !v.here || !h.mayLack(t):
+		return balsampier.RelayNotMine
+	}
+	return balsampier.RelayUnsure
+}
+
+// mayLack reports whether the server may have flows that the agent does not
+// know.
+func (h *Holder) mayLack(t time.Time) bool {
+	return !h.g.Fresh && t.Before(h.learnedAt) && h.server.state.Born.Before(h.g.Started.Add(clockSlack))
+}
+
+// FromServer decides on a packet that the server sent or returned.
+func (h *Holder) FromServer(s balsampier.Segment, b []byte, t time.Time) {
+	f := h.flows[s.Key]
+	if s.Returned {
+		h.returned(f, s, b)
+		return
+	}
+	h.server.answered()
+	if f == nil {
+		if len(h.flows) < maxFlows {
+			f = &flow{segment: s, state: open, run: h.server.run}
+			h.flows[s.Key] = f
+			h.open++
+		}
+	}
+	if f != nil {
+		h.learn(f, s, t)
+	}
+	h.out = append(h.out, Action{ToClient: b, Client: s.Client})
+}
+
+// learn takes in what a packet of the server tells of its flow.
+func (h *Holder) learn(f *flow, s balsampier.Segment, t time.Time) {
+	f.used = t
+	if s.Opening {
+		f.sequence, f.answered = s.Sequence, true
+	}
+	if s.Length > 0 && f.running {
+		f.running = false
+		h.running--
+	}
+	if s.Reset || s.Final {
+		h.end(f)
+	}
+}
+
+// returned decides on a packet that the server did not accept.
+func (h *Holder) returned(f *flow, s balsampier.Segment, b []byte) {
+	if f == nil || !f.via.IsValid() {
+		h.note("dropped", s, netip.AddrPort{}, balsampier.ReasonUnknownFlow, 0)
+		return
+	}
+	via := f.via
+	switch {
+	case s.Opening && f.state == half:
+		h.answer(via, balsampier.RelayRefused, s.Key, balsampier.ReasonFull, b)
+		h.note("returned", s, via, balsampier.ReasonFull, 0)
+	case s.Opening:
+		return
+	default:
+		h.answer(via, balsampier.RelayNotMine, s.Key, balsampier.ReasonNone, b)
+		h.note("returned", s, via, balsampier.ReasonUnknownFlow, 0)
+	}
+	h.forget(s.Key, f)
+}
+
+// Tick takes in that time has passed.
+func (h *Holder) Tick(t time.Time) {
+	for len(h.due) > 0 && !t.Before(h.due[0].at) {
+		k := h.due[0].key
+		h.due = h.due[1:]
+		f := h.flows[k]
+		if f == nil || f.state != half || f.answered || f.run != h.server.run {
+			continue
+		}
+		h.server.missed(t)
+		h.answer(f.via, balsampier.RelayRefused, k, balsampier.ReasonSilent, nil)
+		h.note("silent", f.segment, f.via, balsampier.ReasonSilent, 0)
+	}
+	if t.Before(h.sweepAt) {
+		return
+	}
+	h.sweepAt = t.Add(sweepInterval)
+	for k, f := range h.flows {
+		if h.expired(f, t) {
+			h.forget(k, f)
+		}
+	}
+}
+
+func (h *Holder) expired(f *flow, t time.Time) bool {
+	d := t.Sub(f.used)
+	switch f.state {
+	case half:
+		return d > halfOpenFor
+	case ended:
+		return d > endedFor
+	}
+	return d > idleFor
+}
+
+func (h *Holder) end(f *flow) {
+	h.settle(f)
+	f.state = ended
+}
+
+func (h *Holder) forget(k balsampier.FlowKey, f *flow) {
+	h.settle(f)
+	delete(h.flows, k)
+}
+
+// settle takes a flow out of the counts.
+func (h *Holder) settle(f *flow) {
+	if f.state == open {
+		h.open--
+	}
+	if f.running {
+		f.running = false
+		h.running--
+	}
+}
+
+func (h *Holder) toServer(b []byte) { h.out = append(h.out, Action{ToServer: b}) }
+
+func (h *Holder) answer(to netip.AddrPort, k balsampier.RelayKind, key balsampier.FlowKey, r balsampier.Reason, b []byte) {
+	_, v := h.g.Allowed(netip.AddrPort{})
+	h.out = append(h.out, Action{To: to, Answer: balsampier.Relay{
+		Kind: k, Flow: key, Reason: r, Revision: v, Load: h.Load(), Payload: b,
+	}})
+}
+
+func (h *Holder) note(event string, s balsampier.Segment, b netip.AddrPort, r balsampier.Reason, v balsampier.Revision) {
+	_, own := h.g.Allowed(netip.AddrPort{})
+	h.out = append(h.out, Action{Note: Note{Event: event, Flow: s.Key, Segment: s, Balancer: b, Reason: r, Revision: v, Own: own}})
+}
--- /dev/null
+++ b/control/seeds.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/balsampier/balsampier/settings"
+)
+
+// Seeds are where control instances are found at first. They may change while
+// they are used.
+type Seeds struct {
+	port uint16
+	list atomic.Pointer[[]netip.AddrPort]
+}
+
+// NewSeeds returns seeds whose control instances use the given peer port.
+func NewSeeds(as []netip.AddrPort, port uint16) *Seeds {
+	s := &Seeds{port: port}
+	s.Set(as)
+	return s
+}
+
+// Set replaces the seeds.
+func (s *Seeds) Set(as []netip.AddrPort) {
+	l := settings.WithPort(as, s.port)
+	s.list.Store(&l)
+}
+
+// PeerAddrs returns the peer addresses of the seeds.
+func (s *Seeds) PeerAddrs() []netip.AddrPort { return *s.list.Load() }
--- a/control/session.go
+++ b/control/session.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +39,13 @@
 		Client balsampier.ControlClient
 		// Instances is how many control instances there are; positive.
 		Instances int
+		// Seeds returns where control instances are found at first; nil where
+		// they are configured. Use is called with the peer addresses to use
+		// from then on, and is nil exactly when Seeds is.
+		Seeds func() []netip.AddrPort
+		Use   func([]netip.AddrPort)
+		// Documents leaves the text of the rules to Changed.
+		Documents bool
 		Clock     balsampier.Clock
 		Random    balsampier.Random
 		Logger    *log.Logger
@@ -68,6 +77,8 @@
 		// adopted is what Told returned last.
 		adopted  balsampier.Epoch
 		follower *follow.Follower
+		// used are the addresses that Use was last called with.
+		used []netip.AddrPort
 	}
 
 	// Status tells how a member stands with control.
@@ -135,6 +146,18 @@
 	}
 }
 
+// Watched returns the peer address of the control instance that the session
+// follows; ok is false while it follows none.
+func (s *Session) Watched() (a netip.AddrPort, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.follower.Status(s.o.Clock.Now())
+	if f.State != follow.StateFollowing || len(s.used) == 0 {
+		return a, false
+	}
+	return s.used[f.Instance%len(s.used)], true
+}
+
 // Nudge renews at once, after the own member changed.
 func (s *Session) Nudge() {
 	select {
@@ -148,6 +171,33 @@
 	return []transport.Server{duty.New("renew lease", s.renew), duty.New("watch control", s.watch)}
 }
 
+// locate follows the control instances of the view, and the seeds behind them.
+func (s *Session) locate() {
+	if s.o.Seeds == nil {
+		return
+	}
+	var as []netip.AddrPort
+	for _, m := range s.State().View.Members {
+		if m.Role == balsampier.RoleControl && m.PeerAddr.IsValid() {
+			as = append(as, m.PeerAddr)
+		}
+	}
+	for _, a := range s.o.Seeds() {
+		if !slices.Contains(as, a) {
+			as = append(as, a)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(as) == 0 || slices.Equal(as, s.used) {
+		return
+	}
+	s.used = as
+	s.o.Use(as)
+	s.follower.SetInstances(len(as))
+	s.o.Logger.Info().Int("instances", len(as)).Msg("control instances")
+}
+
 func compile(r balsampier.RuleFile) (*inforce.Table, error) {
 	f, ps := rulefile.Parse(r.Text)
 	if rulefile.Failed(ps) {
--- a/control/watch.go
+++ b/control/watch.go
@@ -25,6 +25,7 @@
 			s.wait(c, memberPeriod)
 			continue
 		}
+		s.locate()
 		s.mu.Lock()
 		t := s.o.Clock.Now()
 		n, due := s.follower.Connect(t)
@@ -112,7 +113,7 @@
 func (s *Session) publish(n State) error {
 	old := s.State()
 	n.Table = old.Table
-	if n.Rules.Revision != old.Rules.Revision {
+	if n.Rules.Revision != old.Rules.Revision && !s.o.Documents {
 		t, err := compile(n.Rules)
 		if err != nil {
 			return err
@@ -120,6 +121,7 @@
 		n.Table = t
 	}
 	s.state.Store(&n)
+	s.locate()
 	s.o.Changed(n)
 	s.mu.Lock()
 	s.own.Acknowledge(s.usable(n.View.Epoch))
--- a/flow.go
+++ b/flow.go
@@ -50,6 +50,12 @@
 	ReasonDraining
 	// ReasonEpoch means that the packet was placed under an older view.
 	ReasonEpoch
+	// ReasonFull means that the server returned the opening packet.
+	ReasonFull
+	// ReasonSilent means that nothing answered in time.
+	ReasonSilent
+	// ReasonRevision means that newer routes forbid the flow.
+	ReasonRevision
 )
 
 // MaxHops bounds how often one packet is passed on between instances.
@@ -140,6 +146,21 @@
 	return binary.BigEndian.AppendUint16(b, a.Port())
 }
 
+// Hash returns the hash of the service's name.
+func (s ServiceName) Hash() ServiceHash { return ServiceHash(xxhash.Sum64String(string(s))) }
+
+// IsZero reports whether the key names no flow.
+func (k FlowKey) IsZero() bool { return k == FlowKey{} }
+
+// Rank returns the rendezvous score of an address for the flow: instances that
+// know the same addresses rank them alike.
+func (k FlowKey) Rank(a netip.AddrPort) uint64 {
+	var b [24]byte
+	x := binary.BigEndian.AppendUint64(b[:0], k.Hi)
+	x = putAddrPort(x, a)
+	return xxhash.Sum64(x)
+}
+
 // IsZero reports whether no holder is known.
 func (h Holder) IsZero() bool { return h == Holder{} }
 
@@ -147,7 +168,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noRule", "noBackendServer", "holderGone", "hops", "service", "incarnation", "unknownFlow",
-		"unsettled", "lease", "draining", "epoch",
+		"unsettled", "lease", "draining", "epoch", "full", "silent", "revision",
 	}[r]
 }
 
--- a/interfaces.go
+++ b/interfaces.go
@@ -129,6 +129,22 @@
 		Parse(text string) (RouteFile, error)
 	}
 
+	// DocumentCommands changes the numbered documents.
+	DocumentCommands interface {
+		// Put returns once d, or a higher version, is in force for good. The
+		// error is of KindNotLeader where Leader may know who takes it.
+		Put(c context.Context, d Document) error
+	}
+
+	// DocumentQueries only answers.
+	DocumentQueries interface {
+		// Newest returns the document that was the newest at or after the call.
+		Newest(c context.Context) (Document, error)
+		// Leader returns the operators' address of an instance that knows
+		// more; ok is false where there is none or this is it.
+		Leader() (a netip.AddrPort, ok bool)
+	}
+
 	// LogStore keeps the replicated log of one replica.
 	LogStore interface {
 		// Save makes w durable before it returns.
--- a/peer/client.go
+++ b/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 )
 
 const (
-	dialTimeout = 2 * time.Second
+	dialTimeout = time.Second
 	callTimeout = 3 * time.Second
 )
 
@@ -42,6 +43,14 @@
 	return &ControlClient{key: k, addrs: addrs, next: int(r.Uint64() % uint64(len(addrs)))}
 }
 
+// SetInstances replaces the addresses; as is not empty.
+func (l *ControlClient) SetInstances(as []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addrs = slices.Clone(as)
+	l.next %= len(l.addrs)
+}
+
 // Renew announces a member and renews its lease.
 func (l *ControlClient) Renew(c context.Context, r balsampier.Renewal) (balsampier.Lease, error) {
 	c, cancel := context.WithTimeout(c, callTimeout)
@@ -85,7 +94,10 @@
 // Watch calls f with each message until c ends, the stream breaks or f
 // returns an error.
 func (l *ControlClient) Watch(c context.Context, w balsampier.WatchRequest, f func(balsampier.WatchMessage) error) error {
-	conn, err := l.dial(c, l.addrs[w.Control%len(l.addrs)])
+	l.mu.Lock()
+	a := l.addrs[w.Control%len(l.addrs)]
+	l.mu.Unlock()
+	conn, err := l.dial(c, a)
 	if err != nil {
 		return err
 	}
--- a/peer/envelope.go
+++ b/peer/envelope.go
@@ -85,6 +85,8 @@
 		macs sync.Pool
 		// messages holds what envelopes are encoded from.
 		messages sync.Pool
+		// relays holds what relays are encoded from.
+		relays sync.Pool
 	}
 
 	// mac is an HMAC with room for its sum.
@@ -106,6 +108,7 @@
 	return &Sealer{
 		macs:     sync.Pool{New: func() any { return &mac{h: hmac.New(sha256.New, k[:])} }},
 		messages: sync.Pool{New: func() any { return new(message) }},
+		relays:   sync.Pool{New: func() any { return new(peerpb.Relay) }},
 	}
 }
 
--- /dev/null
+++ b/peer/relay.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/peer/peerpb"
+)
+
+// SealRelay appends the encoded relay to b.
+func (s *Sealer) SealRelay(b []byte, r *balsampier.Relay) ([]byte, error) {
+	m := s.relays.Get().(*peerpb.Relay)
+	defer s.relays.Put(m)
+	m.Kind, m.Service, m.Revision = uint32(r.Kind), uint64(r.Service), uint64(r.Revision)
+	m.FlowHi, m.FlowLo, m.Reason = r.Flow.Hi, r.Flow.Lo, uint32(r.Reason)
+	m.Flows, m.Running, m.Slots = uint32(r.Load.Connections), uint32(r.Load.Running), uint32(r.Load.Slots)
+	m.Payload = r.Payload
+	n := len(b)
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
+	// The pool keeps no caller's data.
+	m.Payload = nil
+	if err != nil {
+		return nil, trace.Wrap(err, "encode relay")
+	}
+	return s.mac(b, b[n:]), nil
+}
+
+// OpenRelay decodes a relay; the payload aliases nothing in b.
+func (s *Sealer) OpenRelay(b []byte) (balsampier.Relay, error) {
+	n := len(b) - macBytes
+	if n <= 0 {
+		return balsampier.Relay{}, errEnvelope("the relay is too short")
+	}
+	if !s.authentic(b[:n], b[n:]) {
+		return balsampier.Relay{}, balsampier.NewError(balsampier.KindUnauthenticated, "open relay",
+			"give all processes the same peer key file", nil)
+	}
+	var m peerpb.Relay
+	if err := proto.Unmarshal(b[:n], &m); err != nil {
+		return balsampier.Relay{}, trace.Wrap(err, "decode relay")
+	}
+	r := balsampier.Relay{
+		Kind: balsampier.RelayKind(m.GetKind()), Service: balsampier.ServiceHash(m.GetService()),
+		Revision: balsampier.Revision(m.GetRevision()), Reason: balsampier.Reason(m.GetReason()),
+		Flow: balsampier.FlowKey{Hi: m.GetFlowHi(), Lo: m.GetFlowLo()},
+		Load: balsampier.Load{
+			Connections: int(m.GetFlows()), Running: int(m.GetRunning()), Slots: int(m.GetSlots()),
+		},
+		Payload: m.GetPayload(),
+	}
+	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayUnsure) || m.GetReason() > uint32(balsampier.ReasonRevision) || r.Flow.IsZero() {
+		return balsampier.Relay{}, errEnvelope("the relay names no flow or an unknown kind")
+	}
+	return r, nil
+}
--- a/process/command.go
+++ b/process/command.go
@@ -31,6 +31,9 @@
 			if err := settings.Load(path, P(&s)); err != nil {
 				return err
 			}
+			if p, ok := any(&s).(interface{ SetPath(string) }); ok {
+				p.SetPath(path)
+			}
 			return run(s)
 		},
 	}, &cobra.Command{
--- a/process/process.go
+++ b/process/process.go
@@ -48,12 +48,13 @@
 	kratosLogger struct{ l *log.Logger }
 )
 
-// NewLogger returns a logger that writes JSON lines to standard error.
+// NewLogger returns a logger that writes JSON lines to standard output. It
+// never waits: lines that find no room are dropped.
 func NewLogger(program, instance string, v log.Level) *log.Logger {
 	return &log.Logger{
 		Level:   v,
 		Context: log.NewContext(nil).Str("program", program).Str("instance", instance).Value(),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
+		Writer:  &log.IOWriter{Writer: newLines(os.Stdout)},
 	}
 }
 
@@ -77,7 +78,15 @@
 	// Kratos listens for signals only once all servers were started; one that
 	// comes earlier must not get lost.
 	defer onSignals(func() { _ = a.Stop() }, func() { os.Exit(ExitForced) })()
-	return a.Run()
+	p.Logger.Info().Str("version", Version()).Msg("started")
+	err := a.Run()
+	p.Logger.Info().Err(err).Msg("stopped")
+	if w, ok := p.Logger.Writer.(*log.IOWriter); ok {
+		if l, ok := w.Writer.(*lines); ok {
+			l.close()
+		}
+	}
+	return err
 }
 
 func (p *Program) drain(c context.Context) {
--- a/query/members/publisher.go
+++ b/query/members/publisher.go
@@ -11,7 +11,7 @@
 	DefaultBudget = 14_000
 
 	// HeartbeatInterval is the time between messages when nothing changes.
-	HeartbeatInterval = time.Second
+	HeartbeatInterval = 500 * time.Millisecond
 
 	// budgetParts is how many parts of equal length fit a second's budget. One
 	// of them is kept for the burst at its start, so that no second exceeds
--- /dev/null
+++ b/relay.go
@@ -0,0 +1,58 @@
+package balsampier
+
+const (
+	// RelayOpen gives an opening packet to an agent.
+	RelayOpen RelayKind = iota + 1
+	// RelayDeliver gives a packet to the agent that has its flow.
+	RelayDeliver
+	// RelayTry gives a packet to an agent that does not know whether its
+	// server has the flow.
+	RelayTry
+	// RelayAsk asks an agent whether it has the flow of a packet.
+	RelayAsk
+	// RelayTook says that the opening packet went to the server.
+	RelayTook
+	// RelayRefused says that the server does not take the flow; it has not
+	// run anything of it.
+	RelayRefused
+	// RelayMine says that the server has the flow.
+	RelayMine
+	// RelayNotMine says that the server does not have the flow.
+	RelayNotMine
+	// RelayUnsure says that the agent does not know.
+	RelayUnsure
+)
+
+type (
+	// RelayKind tells the kinds of relays apart.
+	RelayKind uint8
+
+	// Relay is what balancers and agents tell each other of flows whose
+	// packets carry no hint of their holder.
+	Relay struct {
+		// Kind is never zero.
+		Kind RelayKind
+		// Flow is never zero.
+		Flow FlowKey
+		// Service is the hash of the service meant, in RelayOpen only.
+		Service ServiceHash
+		// Revision is that of the sender's routes.
+		Revision Revision
+		// Reason is set in RelayRefused only.
+		Reason Reason
+		// Load is that of an answering agent.
+		Load Load
+		// Payload is the packet in RelayOpen, RelayDeliver and RelayTry, and
+		// its head in RelayAsk. Answers return a packet that was not
+		// delivered.
+		Payload []byte
+	}
+
+	// ServiceHash identifies a service in few bytes.
+	ServiceHash uint64
+)
+
+// String returns the name of the kind as it stands in logs and metrics.
+func (k RelayKind) String() string {
+	return [...]string{"none", "open", "deliver", "try", "ask", "took", "refused", "mine", "notMine", "unsure"}[k]
+}
--- a/settings/common.go
+++ b/settings/common.go
@@ -25,8 +25,17 @@
 	PeerKeyFile string `yaml:"peerKeyFile"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `yaml:"logLevel"`
+
+	// path is where the settings were read from; empty where they were not.
+	path string
 }
 
+// SetPath notes where the settings were read from.
+func (c *Common) SetPath(p string) { c.path = p }
+
+// Path returns where the settings were read from.
+func (c *Common) Path() string { return c.path }
+
 // SetDefaults fills what was left out.
 func (c *Common) SetDefaults() {
 	if c.LogLevel == "" {
--- a/settings/settingstest/settingstest.go
+++ b/settings/settingstest/settingstest.go
@@ -52,12 +52,17 @@
 	var out []string
 	for i := range t.NumField() {
 		f := t.Field(i)
+		if !f.IsExported() {
+			continue
+		}
 		name, option, _ := strings.Cut(f.Tag.Get("yaml"), ",")
 		switch {
 		case option == "inline":
 			out = append(out, keys(f.Type, prefix)...)
 		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct && hasTags(f.Type.Elem()):
 			out = append(out, keys(f.Type.Elem(), prefix+name+"[].")...)
+		case f.Type.Kind() == reflect.Pointer && hasTags(f.Type.Elem()):
+			out = append(out, keys(f.Type.Elem(), prefix+name+".")...)
 		case f.Type.Kind() == reflect.Struct && hasTags(f.Type):
 			out = append(out, keys(f.Type, prefix+name+".")...)
 		default:
