--- a/process/http.go
+++ b/process/http.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -22,7 +23,10 @@
 // NewHTTPServer returns a server on l whose clients can hold no connection
 // without sending requests.
 func NewHTTPServer(l net.Listener) *khttp.Server {
+	// Without an endpoint kratos looks for one among the network interfaces,
+	// which not every machine lists.
 	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0),
+		khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}),
 		khttp.NotFoundHandler(http.NotFoundHandler()))
 	s.ReadHeaderTimeout = headerTimeout
 	s.ReadTimeout = bodyTimeout
