feat: reset flows that surely nobody has; confirm streams at once

Cause: after a power loss members waited up to 1 s for the next confirmation, and clients waited for flows whose servers were gone until their deadline. Streams now ask for a confirmation and pass it on as it comes. A flow is reset only when every agent of its route answered that its server does not have it, or its server returned the packet, and no agent may live unseen. Tests for command/direct and command/hold.

--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -67,9 +67,9 @@
 		leases  membership
 		state   state
 		status  atomic.Pointer[replicate.Status]
-		// confirmedAt is when the newest confirmation by a quorum was asked
-		// for; nil before the first.
-		confirmedAt atomic.Pointer[time.Time]
+		confirm *confirmations
+		// unconfirmed holds a token when a confirmation is wanted at once.
+		unconfirmed chan struct{}
 		// active is the newest active epoch that is known.
 		active atomic.Uint64
 		// history is written by the apply thread.
@@ -156,6 +156,7 @@
 		leases:    newMembership(),
 		state:     state{s: new(apply.State)},
 		history:   members.NewHistory(balsampier.View{}),
+		confirm:   newConfirmations(), unconfirmed: make(chan struct{}, 1),
 	}
 	t.published.Store(&published{changed: make(chan struct{})})
 	t.status.Store(t.closedStatus())
--- a/cmd/control/app/leases.go
+++ b/cmd/control/app/leases.go
@@ -131,7 +131,7 @@
 		if err := t.passOwn(c); err != nil {
 			return err
 		}
-		t.confirm(c)
+		t.confirmLead(c)
 		t.proposeChanges(c)
 		t.proposeCompletions(c)
 	}
@@ -262,9 +262,9 @@
 	}
 }
 
-// confirm asks a quorum whether this instance still leads, when digests wait
+// confirmLead asks a quorum whether this instance still leads, when digests wait
 // or leases may have run out.
-func (t *Control) confirm(c context.Context) {
+func (t *Control) confirmLead(c context.Context) {
 	m := &t.leases
 	s := t.status.Load()
 	if s.Role != replicate.RoleLeader {
--- a/cmd/control/app/replicate.go
+++ b/cmd/control/app/replicate.go
@@ -269,6 +269,7 @@
 	s, old := t.replica.n.Status(), t.status.Load()
 	if s.Role != old.Role || s.Term != old.Term || s.Leader != old.Leader {
 		t.log.Info().Uint64("term", uint64(s.Term)).Str("role", s.Role.String()).Str("leader", t.nameOf(s.Leader.Instance)).Msg("replica")
+		t.askConfirmation()
 	}
 	t.status.Store(&s)
 }
--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// unseenFor is how long an agent that left the view without its server's
+	// farewell may still have flows: longer than their idle time-out.
+	unseenFor = 20 * time.Second
 	// loadFor is how long a reported load counts.
 	loadFor = 5 * time.Second
 	// farCost is what an agent in another data centre counts as more flows on
@@ -183,9 +186,23 @@
 			as = append(as, l...)
 		}
 	}
+	as = slices.DeleteFunc(as, func(a *agent) bool { return !a.left.IsZero() && a.draining })
 	return without(addrs(as), asked)
 }
 
+// unseen reports whether an agent of the services may live outside of the
+// view. One that left while it drained had its server's farewell.
+func (g *agents) unseen(ss []balsampier.ServiceName, t time.Time) bool {
+	for _, s := range ss {
+		for _, a := range g.service[s] {
+			if !a.left.IsZero() && !a.draining && t.Sub(a.left) < unseenFor {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // heard takes in the load of an agent that answered.
 func (g *agents) heard(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	a := g.byAddr[from]
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/balsampier/balsampier"
@@ -226,6 +227,9 @@
 // flow of a route that is gone, which its ends close.
 func (d *Director) noRoute(s balsampier.Segment) {
 	n := Note{Event: "dropped", Flow: s.Key, Segment: s, Reason: balsampier.ReasonNoRule, Revision: d.routes.revision}
+	if d.routes.revision == 0 {
+		n.Reason = balsampier.ReasonUnsettled
+	}
 	if s.Opening && d.routes.revision > 0 {
 		n.Event = "reset"
 		d.out = append(d.out, Action{Reset: &s, Note: n})
@@ -373,7 +377,7 @@
 			return
 		}
 		if r.Kind == balsampier.RelayUnsure {
-			f.unsure = append(f.unsure, from)
+			d.unsure(f, from)
 		}
 		if len(f.waiting) == 0 {
 			d.answered(f, t)
@@ -422,13 +426,37 @@
 	d.try(f, t)
 }
 
+// unsure takes in that an agent does not know. Packets are tried at servers of
+// the route only.
+func (d *Director) unsure(f *flow, from netip.AddrPort) {
+	if a := d.agents.byAddr[from]; a != nil && slices.Contains(d.routes.services(f.segment.Service), a.service) {
+		f.unsure = append(f.unsure, from)
+		return
+	}
+	f.silent = true
+}
+
+// lost gives up a flow that nobody has. The client is told at once where it is
+// certain: every agent answered that its server does not have the flow, and
+// none may live unseen.
+func (d *Director) lost(f *flow, t time.Time) {
+	s := f.segment
+	if !f.silent && !s.Reset && !d.agents.unseen(d.routes.services(s.Service), t) {
+		d.note("reset", f, netip.AddrPort{}, balsampier.ReasonHolderGone, 0)
+		d.out = append(d.out, Action{Reset: &s})
+		d.forget(s.Key, f)
+		return
+	}
+	d.note("lost", f, netip.AddrPort{}, balsampier.ReasonUnknownFlow, 0)
+	f.state, f.since, f.agent = nobody, t, netip.AddrPort{}
+	f.tried = f.tried[:0]
+	d.unpark(f)
+}
+
 // try gives the first packet to the next agent that does not know.
 func (d *Director) try(f *flow, t time.Time) {
 	if len(f.unsure) == 0 || len(f.packets) == 0 {
-		d.note("lost", f, netip.AddrPort{}, balsampier.ReasonUnknownFlow, 0)
-		f.state, f.since, f.agent = nobody, t, netip.AddrPort{}
-		f.tried = f.tried[:0]
-		d.unpark(f)
+		d.lost(f, t)
 		return
 	}
 	a := f.unsure[0]
--- /dev/null
+++ b/command/direct/direct_test.go
@@ -0,0 +1,273 @@
+package direct_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/direct"
+)
+
+var (
+	start  = time.Date(2027, time.February, 20, 12, 0, 0, 0, time.UTC)
+	client = netip.MustParseAddrPort("192.0.2.1:4000")
+	to     = netip.MustParseAddrPort("203.0.113.7:443")
+)
+
+type world struct {
+	*qt.C
+	d *direct.Director
+	t time.Time
+}
+
+// newWorld has n agents of the service reservas and one of galeria.
+func newWorld(c *qt.C, n int) *world {
+	w := &world{C: c, d: direct.New("lima-1"), t: start}
+	w.d.Adopt(balsampier.RouteFile{Version: 1, Routes: []balsampier.Route{{
+		Name: "r", To: to, Targets: []balsampier.Target{{Service: "reservas", Weight: 1}},
+	}}})
+	w.view(1, n)
+	return w
+}
+
+func agentAddr(i int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("198.51.100.%d:7000", i))
+}
+
+// view has the agents from first to last.
+func (w *world) view(first, last int) {
+	v := balsampier.View{Epoch: 1, Members: []balsampier.Member{{
+		ID: 99, Role: balsampier.RoleAgent, Addr: agentAddr(99), Service: "galeria", Slots: 3, DataCentre: "lima-1",
+	}}}
+	for i := first; i <= last; i++ {
+		v.Members = append(v.Members, balsampier.Member{
+			ID: balsampier.InstanceID(i), Role: balsampier.RoleAgent, Addr: agentAddr(i), Service: "reservas", Slots: 3, DataCentre: "lima-1",
+		})
+	}
+	w.d.AdoptView(v, w.t)
+}
+
+func segment(opening bool) balsampier.Segment {
+	return balsampier.Segment{
+		Client: client, Service: to, Key: balsampier.NewFlowKey(client, to, nil), Opening: opening, Ack: !opening, Acknowledged: 7,
+	}
+}
+
+func (w *world) packet(opening bool) []direct.Action {
+	w.d.Packet(segment(opening), []byte("packet"), w.t)
+	return w.d.Take()
+}
+
+func (w *world) answer(from netip.AddrPort, k balsampier.RelayKind, r balsampier.Reason) []direct.Action {
+	w.d.Answer(from, balsampier.Relay{Kind: k, Flow: segment(true).Key, Reason: r, Load: balsampier.Load{Slots: 3}}, w.t)
+	return w.d.Take()
+}
+
+func (w *world) pass(d time.Duration) []direct.Action {
+	w.t = w.t.Add(d)
+	w.d.Tick(w.t)
+	return w.d.Take()
+}
+
+// sent returns where the relays of kind k go.
+func sent(as []direct.Action, k balsampier.RelayKind) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range as {
+		if a.To.IsValid() && a.Relay.Kind == k {
+			out = append(out, a.To)
+		}
+	}
+	return out
+}
+
+func resets(as []direct.Action) int {
+	n := 0
+	for _, a := range as {
+		if a.Reset != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOpening(t *testing.T) {
+	tests := []struct {
+		name string
+		// answer is what each agent in turn says; zero for silence.
+		answers []balsampier.RelayKind
+		resets  int
+	}{
+		{"taken by the first", []balsampier.RelayKind{balsampier.RelayTook}, 0},
+		{"refused once", []balsampier.RelayKind{balsampier.RelayRefused, balsampier.RelayTook}, 0},
+		{"silent once", []balsampier.RelayKind{0, balsampier.RelayTook}, 0},
+		{"refused by all", []balsampier.RelayKind{balsampier.RelayRefused, balsampier.RelayRefused}, 1},
+		{"silent all", []balsampier.RelayKind{0, 0}, 1},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 2)
+			as := w.packet(true)
+			n := 0
+			seen := make(map[netip.AddrPort]bool)
+			for _, k := range v.answers {
+				at := sent(as, balsampier.RelayOpen)
+				w.Assert(at, qt.HasLen, 1)
+				w.Assert(seen[at[0]], qt.IsFalse)
+				seen[at[0]] = true
+				if k == 0 {
+					as = w.pass(50 * time.Millisecond)
+				} else {
+					as = w.answer(at[0], k, balsampier.ReasonDraining)
+				}
+				n += resets(as)
+			}
+			w.Assert(n, qt.Equals, v.resets)
+		})
+	}
+}
+
+// TestNoRoute resets openings only: another packet may belong to a flow whose
+// route is gone.
+func TestNoRoute(t *testing.T) {
+	tests := []struct {
+		name    string
+		opening bool
+		routes  bool
+		resets  int
+	}{
+		{"opening", true, true, 1},
+		{"later packet", false, true, 0},
+		{"opening before the first routes", true, false, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := &world{C: qt.New(t), d: direct.New("lima-1"), t: start}
+			if v.routes {
+				w.d.Adopt(balsampier.RouteFile{Version: 1})
+			}
+			w.Assert(resets(w.packet(v.opening)), qt.Equals, v.resets)
+		})
+	}
+}
+
+// TestUnknownFlow asks the agents. Only when each of them surely denies the
+// flow is the client told.
+func TestUnknownFlow(t *testing.T) {
+	const (
+		mine    = balsampier.RelayMine
+		notMine = balsampier.RelayNotMine
+		unsure  = balsampier.RelayUnsure
+	)
+	tests := []struct {
+		name string
+		// answers are by agent; zero for silence.
+		answers [3]balsampier.RelayKind
+		// returns is how many servers return the packet that is tried.
+		returns   int
+		delivered int
+		resets    int
+	}{
+		{"one has it", [3]balsampier.RelayKind{notMine, mine, notMine}, 0, 1, 0},
+		{"all deny", [3]balsampier.RelayKind{notMine, notMine, notMine}, 0, 0, 1},
+		{"one is silent", [3]balsampier.RelayKind{notMine, 0, notMine}, 0, 0, 0},
+		{"one does not know and has it", [3]balsampier.RelayKind{notMine, unsure, notMine}, 0, 0, 0},
+		{"one does not know and returns it", [3]balsampier.RelayKind{notMine, unsure, notMine}, 1, 0, 1},
+		{"all do not know and return it", [3]balsampier.RelayKind{unsure, unsure, unsure}, 3, 0, 1},
+		{"one is silent, one returns it", [3]balsampier.RelayKind{0, unsure, notMine}, 1, 0, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 3)
+			as := w.packet(false)
+			var delivered, reset, tried int
+			for range 30 {
+				delivered += len(sent(as, balsampier.RelayDeliver))
+				reset += resets(as)
+				var next []direct.Action
+				for _, a := range append([]direct.Action(nil), as...) {
+					switch {
+					case !a.To.IsValid():
+					case a.Relay.Kind == balsampier.RelayAsk && a.To == agentAddr(99):
+						next = append(next, w.answer(a.To, notMine, 0)...)
+					case a.Relay.Kind == balsampier.RelayAsk:
+						if k := v.answers[a.To.Addr().As4()[3]-1]; k != 0 {
+							next = append(next, w.answer(a.To, k, 0)...)
+						}
+					case a.Relay.Kind == balsampier.RelayTry:
+						if tried++; tried <= v.returns {
+							next = append(next, w.answer(a.To, notMine, 0)...)
+						}
+					}
+				}
+				if as = next; len(as) == 0 {
+					as = w.pass(50 * time.Millisecond)
+				}
+			}
+			w.Assert(delivered, qt.Equals, v.delivered)
+			w.Assert(reset, qt.Equals, v.resets)
+		})
+	}
+}
+
+// TestUnseenAgent denies a flow everywhere after an agent left the view
+// without a word: it may live on, and its flow must not be reset.
+func TestUnseenAgent(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	w.view(2, 2)
+	as := w.packet(false)
+	n := 0
+	for range 10 {
+		var next []direct.Action
+		for _, a := range append([]direct.Action(nil), as...) {
+			if a.To.IsValid() && a.To != agentAddr(1) {
+				next = append(next, w.answer(a.To, balsampier.RelayNotMine, 0)...)
+			}
+		}
+		if as = next; len(as) == 0 {
+			as = w.pass(50 * time.Millisecond)
+		}
+		n += resets(as)
+	}
+	w.Assert(n, qt.Equals, 0)
+}
+
+// TestReturnedOpening offers an opening packet that the server returned after
+// the agent took it to another agent.
+func TestReturnedOpening(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	at := sent(w.packet(true), balsampier.RelayOpen)
+	w.answer(at[0], balsampier.RelayTook, 0)
+	w.d.Answer(at[0], balsampier.Relay{
+		Kind: balsampier.RelayRefused, Flow: segment(true).Key, Reason: balsampier.ReasonFull, Payload: []byte("packet"),
+	}, w.t)
+	next := sent(w.d.Take(), balsampier.RelayOpen)
+	w.Assert(next, qt.HasLen, 1)
+	w.Assert(next[0], qt.Not(qt.Equals), at[0])
+}
+
+// TestParkedIsBounded sends packets of flows that nobody answers for.
+func TestParkedIsBounded(t *testing.T) {
+	w := newWorld(qt.New(t), 3)
+	for range 100 {
+		w.packet(false)
+	}
+	as := w.answer(agentAddr(2), balsampier.RelayMine, 0)
+	w.Assert(sent(as, balsampier.RelayDeliver), qt.HasLen, direct.MaxParked)
+}
+
+// BenchmarkKnownFlow is the cost of a packet of a flow that is known.
+func BenchmarkKnownFlow(b *testing.B) {
+	w := newWorld(qt.New(b), 7)
+	at := sent(w.packet(true), balsampier.RelayOpen)
+	w.answer(at[0], balsampier.RelayTook, 0)
+	p := make([]byte, 1234)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.d.Packet(segment(false), p, w.t)
+		w.d.Take()
+	}
+}
--- /dev/null
+++ b/command/hold/hold_test.go
@@ -0,0 +1,288 @@
+package hold_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/hold"
+)
+
+const hostNumber = 1000
+
+var (
+	start    = time.Date(2027, time.February, 20, 12, 0, 0, 0, time.UTC)
+	client   = netip.MustParseAddrPort("192.0.2.1:4000")
+	to       = netip.MustParseAddrPort("203.0.113.7:443")
+	balancer = netip.MustParseAddrPort("198.51.100.1:7000")
+)
+
+type world struct {
+	*qt.C
+	h *hold.Holder
+	t time.Time
+	// forbidden makes the agent's own routes, of revision 9, forbid the flow.
+	forbidden bool
+}
+
+func newWorld(c *qt.C, fresh bool) *world {
+	w := &world{C: c, t: start}
+	w.h = hold.New(hold.Config{
+		Service: "reservas", Fresh: fresh, Started: start,
+		Allowed: func(netip.AddrPort) (bool, balsampier.Revision) { return !w.forbidden, 9 },
+	}, start)
+	return w
+}
+
+func state(born time.Duration, sequence uint64, draining bool) balsampier.ServerState {
+	return balsampier.ServerState{
+		ID: "i-1", Born: start.Add(born), Sequence: sequence, Service: "reservas", Slots: 3, Draining: draining,
+	}
+}
+
+func segment(opening bool) balsampier.Segment {
+	return balsampier.Segment{Client: client, Service: to, Key: balsampier.NewFlowKey(client, to, nil), Opening: opening}
+}
+
+func (w *world) relay(k balsampier.RelayKind, s balsampier.Segment, v balsampier.Revision) []hold.Action {
+	w.h.Relay(balancer, balsampier.Relay{
+		Kind: k, Flow: s.Key, Service: balsampier.ServiceName("reservas").Hash(), Revision: v, Payload: []byte("packet"),
+	}, s, w.t)
+	return w.h.Take()
+}
+
+// fromServer is a packet that the server sends.
+func (w *world) fromServer(s balsampier.Segment) []hold.Action {
+	w.h.FromServer(s, []byte("packet"), w.t)
+	return w.h.Take()
+}
+
+// opens lets the server take a flow.
+func (w *world) opens() {
+	w.relay(balsampier.RelayOpen, segment(true), 9)
+	s := segment(true)
+	s.Ack, s.Sequence = true, hostNumber
+	w.fromServer(s)
+	w.relay(balsampier.RelayDeliver, acked(hostNumber+1), 9)
+}
+
+func acked(n uint32) balsampier.Segment {
+	s := segment(false)
+	s.Ack, s.Acknowledged = true, n
+	return s
+}
+
+// said returns the kind and reason of the answer, and whether a packet went to
+// the server.
+func said(as []hold.Action) (k balsampier.RelayKind, r balsampier.Reason, delivered bool) {
+	for _, a := range as {
+		if a.To.IsValid() {
+			k, r = a.Answer.Kind, a.Answer.Reason
+		}
+		delivered = delivered || a.ToServer != nil
+	}
+	return k, r, delivered
+}
+
+func TestOpening(t *testing.T) {
+	tests := []struct {
+		name string
+		// prepare comes before the opening packet.
+		prepare func(w *world)
+		want    balsampier.RelayKind
+		reason  balsampier.Reason
+	}{
+		{"no server", func(*world) {}, balsampier.RelayRefused, balsampier.ReasonNoBackendServer},
+		{"server", func(w *world) { w.h.Heartbeat(state(0, 1, false)) }, balsampier.RelayTook, 0},
+		{"draining server", func(w *world) {
+			w.h.Heartbeat(state(0, 1, false))
+			w.h.Heartbeat(state(0, 2, true))
+		}, balsampier.RelayRefused, balsampier.ReasonDraining},
+		{"late heartbeat after draining", func(w *world) {
+			w.h.Heartbeat(state(0, 2, true))
+			w.h.Heartbeat(state(0, 1, false))
+		}, balsampier.RelayRefused, balsampier.ReasonDraining},
+		{"heartbeat of an earlier run", func(w *world) {
+			w.h.Heartbeat(state(time.Second, 1, true))
+			w.h.Heartbeat(state(0, 50, false))
+		}, balsampier.RelayRefused, balsampier.ReasonDraining},
+		{"later run that begins to count anew", func(w *world) {
+			w.h.Heartbeat(state(0, 50, true))
+			w.h.Heartbeat(state(time.Second, 1, false))
+		}, balsampier.RelayTook, 0},
+		{"server that left", func(w *world) {
+			w.h.Heartbeat(state(0, 1, false))
+			w.h.Leave("i-1")
+		}, balsampier.RelayRefused, balsampier.ReasonNoBackendServer},
+		{"server of another service", func(w *world) {
+			s := state(0, 1, false)
+			s.Service = "galeria"
+			w.h.Heartbeat(s)
+		}, balsampier.RelayRefused, balsampier.ReasonService},
+		{"newer routes forbid it", func(w *world) {
+			w.h.Heartbeat(state(0, 1, false))
+			w.forbidden = true
+		}, balsampier.RelayRefused, balsampier.ReasonRevision},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), true)
+			v.prepare(w)
+			k, r, delivered := said(w.relay(balsampier.RelayOpen, segment(true), 8))
+			w.Assert(k, qt.Equals, v.want)
+			w.Assert(r, qt.Equals, v.reason)
+			w.Assert(delivered, qt.Equals, k == balsampier.RelayTook)
+		})
+	}
+}
+
+// TestOlderRoutes gives a flow that the balancer's newer routes allow and the
+// agent's older ones do not.
+func TestOlderRoutes(t *testing.T) {
+	w := newWorld(qt.New(t), true)
+	w.h.Heartbeat(state(0, 1, false))
+	w.forbidden = true
+	k, _, _ := said(w.relay(balsampier.RelayOpen, segment(true), 10))
+	w.Assert(k, qt.Equals, balsampier.RelayTook)
+}
+
+func TestWhoseFlow(t *testing.T) {
+	tests := []struct {
+		name    string
+		fresh   bool
+		prepare func(w *world)
+		packet  balsampier.Segment
+		want    balsampier.RelayKind
+	}{
+		{"open flow", true, (*world).opens, acked(hostNumber + 500), balsampier.RelayMine},
+		{"unknown flow", true, func(*world) {}, acked(1), balsampier.RelayNotMine},
+		{"unknown flow, the agent started after the server", false, func(*world) {}, acked(1), balsampier.RelayUnsure},
+		{"the same, a lifetime later", false, func(w *world) { w.t = w.t.Add(61 * time.Second) }, acked(1), balsampier.RelayNotMine},
+		{"opening not answered", true, func(w *world) { w.relay(balsampier.RelayOpen, segment(true), 9) }, acked(1), balsampier.RelayNotMine},
+		{"opening answered, and acknowledged here", true, half, acked(hostNumber + 1), balsampier.RelayMine},
+		{"opening answered, acknowledged elsewhere", true, half, acked(hostNumber - 1), balsampier.RelayNotMine},
+		{"flow of an earlier run", true, func(w *world) {
+			w.opens()
+			w.h.Heartbeat(state(time.Second, 1, false))
+		}, acked(hostNumber + 1), balsampier.RelayNotMine},
+		{"flow learnt from the server", false, func(w *world) { w.fromServer(segment(false)) }, acked(1), balsampier.RelayMine},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), v.fresh)
+			w.h.Heartbeat(state(0, 1, false))
+			v.prepare(w)
+			k, _, delivered := said(w.relay(balsampier.RelayAsk, v.packet, 9))
+			w.Assert(k, qt.Equals, v.want)
+			w.Assert(delivered, qt.IsFalse)
+		})
+	}
+}
+
+func half(w *world) {
+	w.relay(balsampier.RelayOpen, segment(true), 9)
+	s := segment(true)
+	s.Ack, s.Sequence = true, hostNumber
+	w.fromServer(s)
+}
+
+// TestReturned gives back what the server did not accept.
+func TestReturned(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(w *world)
+		packet  balsampier.Segment
+		want    balsampier.RelayKind
+	}{
+		{"opening", func(w *world) { w.relay(balsampier.RelayOpen, segment(true), 9) }, segment(true), balsampier.RelayRefused},
+		{"packet of a flow", (*world).opens, segment(false), balsampier.RelayNotMine},
+		{"copy of an opening that was taken", (*world).opens, segment(true), 0},
+		{"nobody's packet", func(*world) {}, segment(false), 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), true)
+			w.h.Heartbeat(state(0, 1, false))
+			v.prepare(w)
+			s := v.packet
+			s.Returned = true
+			as := w.fromServer(s)
+			k, _, delivered := said(as)
+			w.Assert(k, qt.Equals, v.want)
+			w.Assert(delivered, qt.IsFalse)
+			for _, a := range as {
+				w.Assert(a.ToClient, qt.IsNil)
+			}
+		})
+	}
+}
+
+// TestSilentServer leaves openings unanswered: the balancer is told, and after
+// two of them openings are refused but for a probe now and then.
+func TestSilentServer(t *testing.T) {
+	w := newWorld(qt.New(t), true)
+	w.h.Heartbeat(state(0, 1, false))
+	open := func(port uint16) balsampier.RelayKind {
+		s := segment(true)
+		s.Client = netip.AddrPortFrom(client.Addr(), port)
+		s.Key = balsampier.NewFlowKey(s.Client, to, nil)
+		k, _, _ := said(w.relay(balsampier.RelayOpen, s, 9))
+		return k
+	}
+	for i := range 2 {
+		w.Assert(open(uint16(i+1)), qt.Equals, balsampier.RelayTook)
+		w.t = w.t.Add(50 * time.Millisecond)
+		w.h.Tick(w.t)
+		k, r, _ := said(w.h.Take())
+		w.Assert(k, qt.Equals, balsampier.RelayRefused)
+		w.Assert(r, qt.Equals, balsampier.ReasonSilent)
+	}
+	w.Assert(open(10), qt.Equals, balsampier.RelayRefused)
+	w.t = w.t.Add(time.Second)
+	w.Assert(open(11), qt.Equals, balsampier.RelayTook)
+	w.Assert(open(12), qt.Equals, balsampier.RelayRefused)
+	s := segment(true)
+	s.Ack = true
+	w.fromServer(s)
+	w.Assert(open(13), qt.Equals, balsampier.RelayTook)
+}
+
+// TestEarlierRun resets a flow whose server has started again.
+func TestEarlierRun(t *testing.T) {
+	w := newWorld(qt.New(t), true)
+	w.h.Heartbeat(state(0, 1, false))
+	w.opens()
+	w.h.Heartbeat(state(time.Second, 1, false))
+	n := 0
+	for _, a := range w.relay(balsampier.RelayDeliver, acked(hostNumber+1), 9) {
+		w.Assert(a.ToServer, qt.IsNil)
+		if a.Reset != nil {
+			n++
+		}
+	}
+	w.Assert(n, qt.Equals, 1)
+}
+
+// TestLoad counts flows and requests under way, and none twice.
+func TestLoad(t *testing.T) {
+	w := newWorld(qt.New(t), true)
+	w.h.Heartbeat(state(0, 1, false))
+	w.opens()
+	w.Assert(w.h.Load(), qt.Equals, balsampier.Load{Connections: 1, Slots: 3})
+	q := acked(hostNumber + 1)
+	q.Length = 900
+	w.relay(balsampier.RelayDeliver, q, 9)
+	w.relay(balsampier.RelayDeliver, q, 9)
+	w.Assert(w.h.Load(), qt.Equals, balsampier.Load{Connections: 1, Running: 1, Slots: 3})
+	a := segment(false)
+	a.Length = 600
+	w.fromServer(a)
+	w.Assert(w.h.Load(), qt.Equals, balsampier.Load{Connections: 1, Slots: 3})
+	a.Final, a.Length = true, 0
+	w.fromServer(a)
+	w.relay(balsampier.RelayDeliver, acked(hostNumber+1), 9)
+	w.Assert(w.h.Load(), qt.Equals, balsampier.Load{Slots: 3})
+}
--- a/query/members/publisher.go
+++ b/query/members/publisher.go
@@ -48,6 +48,8 @@
 		filled time.Time
 		// sent is when the newest message was sent.
 		sent time.Time
+		// told is true once a message said that the state is confirmed.
+		told bool
 		// position is what the watcher has after all that was sent.
 		position Position
 		// base is the rule file of position; zero when it is not known.
@@ -76,7 +78,7 @@
 	n := p.sizes.Message
 	idle := p.rules == nil && p.view == nil
 	switch {
-	case idle && t.Sub(p.sent) >= HeartbeatInterval:
+	case idle && (t.Sub(p.sent) >= HeartbeatInterval || s.Confirmed && !p.told):
 	case idle:
 		return m, HeartbeatInterval - t.Sub(p.sent), false
 	case p.tokens < p.part():
@@ -87,7 +89,7 @@
 		n += p.takeView(&m)
 	}
 	p.tokens -= n
-	p.sent = t
+	p.sent, p.told = t, s.Confirmed
 	return m, 0, true
 }
 
