feat: search for flows that the likely agents do not have with one message for many

Cause: on 61 agents each unknown flow was asked for at all of them, 6.7 KB on links of 3.9 Mbit/s; answers came late, so that every flow counted as uncertain and clients waited for their deadline. An agent that started with its server now knows that it saw all flows.

--- a/cmd/agent/datagram/keep.go
+++ b/cmd/agent/datagram/keep.go
@@ -69,6 +69,11 @@
 		a.refuse("relay", d, err)
 		return
 	}
+	if r.Kind == balsampier.RelaySearch {
+		a.counters.relays.Inc()
+		a.holder.Relay(d.Caller, r, balsampier.Segment{}, d.At)
+		return
+	}
 	s, err := a.o.Codec.Decode(r.Payload, true)
 	if err != nil || s.Key != r.Flow {
 		a.refuse("relay", d, err)
--- a/cmd/balancer/datagram/direct.go
+++ b/cmd/balancer/datagram/direct.go
@@ -66,7 +66,7 @@
 		b.refuse(d, err)
 		return
 	}
-	if len(r.Payload) > 0 {
+	if len(r.Payload) > 0 && r.Flow.Hi != 0 {
 		b.o.Codec.ClearReturned(r.Payload)
 		if s, err := b.o.Codec.Decode(r.Payload, true); err != nil || s.Key != r.Flow {
 			b.counters.drop("answer")
--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -176,18 +176,17 @@
 	return without(addrs(first(k, as)), not)
 }
 
-// others returns the agents that may have a flow and are not likely to: those
-// of the services, and all others where they are few.
-func (g *agents) others(k balsampier.FlowKey, ss []balsampier.ServiceName, not []netip.AddrPort, t time.Time) []netip.AddrPort {
-	asked := append(slices.Clone(not), g.likely(k, ss, nil, t)...)
-	var as []*agent
-	for s, l := range g.service {
-		if len(g.byAddr) <= maxAskedAll || slices.Contains(ss, s) {
-			as = append(as, l...)
+// all returns the agents that a search asks: all but those that left with
+// their server's farewell.
+func (g *agents) all() []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(g.byAddr))
+	for _, a := range g.byAddr {
+		if a.left.IsZero() || !a.draining {
+			out = append(out, a.addr)
 		}
 	}
-	as = slices.DeleteFunc(as, func(a *agent) bool { return !a.left.IsZero() && a.draining })
-	return without(addrs(as), asked)
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	return out
 }
 
 // unseen reports whether an agent of the services may live outside of the
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -31,7 +31,7 @@
 	// askTimeout bounds the wait for the answers to a question.
 	askTimeout = 40 * time.Millisecond
 	// tryTimeout is how long a server may take to return a packet.
-	tryTimeout = 30 * time.Millisecond
+	tryTimeout = 100 * time.Millisecond
 	// againAfter spaces questions after a flow that nobody had: a client
 	// repeats a packet after 200 ms at first.
 	againAfter = 150 * time.Millisecond
@@ -51,8 +51,6 @@
 
 	// firstAsked is how many agents are asked or weighed first.
 	firstAsked = 3
-	// maxAskedAll bounds the agents of other services that are asked at last.
-	maxAskedAll = 128
 )
 
 const (
@@ -73,6 +71,8 @@
 		routes routes
 		agents agents
 		flows  map[balsampier.FlowKey]*flow
+		// searches look for flows at all agents.
+		searches searches
 		// parked counts the waiting packets of all flows.
 		parked int
 		// due has an entry for every deadline, in order of time.
@@ -161,10 +161,11 @@
 
 // Next returns when to call Tick; ok is false while nothing is waited for.
 func (d *Director) Next() (time.Time, bool) {
-	if len(d.due) == 0 {
-		return time.Time{}, false
+	at, ok := d.nextSearch()
+	if len(d.due) > 0 && (!ok || d.due[0].at.Before(at)) {
+		return d.due[0].at, true
 	}
-	return d.due[0].at, true
+	return at, ok
 }
 
 // Flows returns how many flows are remembered.
@@ -299,6 +300,10 @@
 // Answer takes in what an agent says.
 func (d *Director) Answer(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	d.agents.heard(from, r, t)
+	if r.Flow.Hi == 0 {
+		d.searched(from, r, t)
+		return
+	}
 	f, ok := d.flows[r.Flow]
 	if !ok {
 		return
@@ -414,13 +419,12 @@
 
 // answered goes on when all that were asked answered or their time is up.
 func (d *Director) answered(f *flow, t time.Time) {
-	if len(f.waiting) > 0 {
+	if len(f.waiting) > 0 && f.wide {
 		f.silent = true
 	}
 	if !f.wide {
 		f.wide = true
-		services := d.routes.services(f.segment.Service)
-		d.question(f, d.agents.others(f.segment.Key, services, f.tried, t), t)
+		d.seek(f, t)
 		return
 	}
 	d.try(f, t)
@@ -478,6 +482,7 @@
 			d.expire(f, t)
 		}
 	}
+	d.tickSearches(t)
 	if t.Before(d.sweepAt) {
 		return
 	}
@@ -499,9 +504,7 @@
 		f.tried = append(f.tried, f.agent)
 		d.place(f, t)
 	case asking:
-		for _, a := range f.waiting {
-			d.note("silent", f, a, balsampier.ReasonSilent, 0)
-		}
+		d.note("silent", f, f.waiting[0], balsampier.ReasonSilent, len(f.waiting))
 		d.answered(f, t)
 	case trying:
 		// A server that does not hold the flow had returned the packet.
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -191,6 +192,15 @@
 				for _, a := range append([]direct.Action(nil), as...) {
 					switch {
 					case !a.To.IsValid():
+					case a.Relay.Kind == balsampier.RelaySearch:
+						k := notMine
+						if a.To != agentAddr(99) {
+							k = v.answers[a.To.Addr().As4()[3]-1]
+						}
+						if k != 0 {
+							w.d.Answer(a.To, balsampier.Relay{Kind: k, Flow: a.Relay.Flow}, w.t)
+							next = append(next, w.d.Take()...)
+						}
 					case a.Relay.Kind == balsampier.RelayAsk && a.To == agentAddr(99):
 						next = append(next, w.answer(a.To, notMine, 0)...)
 					case a.Relay.Kind == balsampier.RelayAsk:
@@ -224,7 +234,8 @@
 		var next []direct.Action
 		for _, a := range append([]direct.Action(nil), as...) {
 			if a.To.IsValid() && a.To != agentAddr(1) {
-				next = append(next, w.answer(a.To, balsampier.RelayNotMine, 0)...)
+				w.d.Answer(a.To, balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}, w.t)
+				next = append(next, w.d.Take()...)
 			}
 		}
 		if as = next; len(as) == 0 {
@@ -271,3 +282,49 @@
 		w.d.Take()
 	}
 }
+
+// TestSearch looks for many flows with one message to each agent, and finds
+// those of an agent that is not among the likely ones.
+func TestSearch(t *testing.T) {
+	w := newWorld(qt.New(t), 20)
+	var keys []balsampier.FlowKey
+	var as []direct.Action
+	for i := range 50 {
+		s := segment(false)
+		s.Client = netip.AddrPortFrom(client.Addr(), uint16(i+1))
+		s.Key = balsampier.NewFlowKey(s.Client, to, nil)
+		keys = append(keys, s.Key)
+		w.d.Packet(s, []byte("packet"), w.t)
+		as = append(as, w.d.Take()...)
+	}
+	for _, a := range as {
+		if a.To.IsValid() {
+			w.d.Answer(a.To, balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}, w.t)
+		}
+	}
+	w.d.Take()
+	as = append([]direct.Action(nil), w.pass(20*time.Millisecond)...)
+	at := sent(as, balsampier.RelaySearch)
+	w.Assert(at, qt.HasLen, 21)
+	holder, n := agentAddr(5), 0
+	for _, a := range as {
+		if !a.To.IsValid() {
+			continue
+		}
+		r := balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}
+		if a.To == holder {
+			r.Payload = binary.BigEndian.AppendUint64(nil, keys[7].Hi)
+		}
+		w.d.Answer(a.To, r, w.t)
+		for _, x := range w.d.Take() {
+			if x.Reset != nil {
+				n++
+			}
+			if x.To.IsValid() {
+				w.Assert(x.To, qt.Equals, holder)
+				w.Assert(x.Relay.Flow, qt.Equals, keys[7])
+			}
+		}
+	}
+	w.Assert(n, qt.Equals, 49)
+}
--- /dev/null
+++ b/command/direct/search.go
@@ -0,0 +1,162 @@
+package direct
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/balsampier/balsampier"
+)
+
+const (
+	// searchDelay is how long a search waits for more flows, so that one
+	// message to each agent asks for many.
+	searchDelay = 10 * time.Millisecond
+	// searchTimeout bounds the wait for the answers to a search.
+	searchTimeout = 80 * time.Millisecond
+	// maxSearched bounds the flows of one search: with 8 bytes each a message
+	// stays below 1 KB.
+	maxSearched = 100
+	// keyBytes is the length of a flow in a search.
+	keyBytes = 8
+)
+
+type (
+	// searches ask all agents for flows that the likely ones do not have.
+	searches struct {
+		// next is the search that has not begun; empty while there is none.
+		next []balsampier.FlowKey
+		at   time.Time
+		// under are the searches under way, oldest first.
+		under []*search
+		// number is that of the newest search.
+		number uint64
+	}
+
+	search struct {
+		number uint64
+		keys   []balsampier.FlowKey
+		until  time.Time
+		// waiting are the agents that have not answered.
+		waiting []netip.AddrPort
+		// unsure are those that do not know all flows of their server.
+		unsure []netip.AddrPort
+		// found has the agents of each flow that was found: two where only one
+		// of them was acknowledged.
+		found map[uint64][]netip.AddrPort
+	}
+)
+
+// seek puts a flow into the next search.
+func (d *Director) seek(f *flow, t time.Time) {
+	q := &d.searches
+	f.attempt++
+	if len(q.next) == 0 {
+		q.at = t.Add(searchDelay)
+	}
+	q.next = append(q.next, f.segment.Key)
+	if len(q.next) >= maxSearched {
+		d.beginSearch(t)
+	}
+}
+
+// beginSearch asks all agents that may have flows.
+func (d *Director) beginSearch(t time.Time) {
+	q := &d.searches
+	q.number++
+	s := &search{
+		number: q.number, keys: q.next, until: t.Add(searchTimeout), waiting: d.agents.all(),
+		found: make(map[uint64][]netip.AddrPort),
+	}
+	q.next = nil
+	q.under = append(q.under, s)
+	b := make([]byte, 0, len(s.keys)*keyBytes)
+	for _, k := range s.keys {
+		b = binary.BigEndian.AppendUint64(b, k.Hi)
+	}
+	r := balsampier.Relay{Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: s.number}, Revision: d.routes.revision, Payload: b}
+	for _, a := range s.waiting {
+		d.out = append(d.out, Action{To: a, Relay: r})
+	}
+	d.out = append(d.out, Action{Note: Note{Event: "search", Candidates: len(s.keys), Revision: d.routes.revision}})
+}
+
+// searched takes in what an agent has of a search.
+func (d *Director) searched(from netip.AddrPort, r balsampier.Relay, t time.Time) {
+	q := &d.searches
+	i := slices.IndexFunc(q.under, func(s *search) bool { return s.number == r.Flow.Lo })
+	if i < 0 || !drop(&q.under[i].waiting, from) {
+		return
+	}
+	s := q.under[i]
+	if r.Kind == balsampier.RelayUnsure {
+		s.unsure = append(s.unsure, from)
+	}
+	for b := r.Payload; len(b) >= keyBytes; b = b[keyBytes:] {
+		k := binary.BigEndian.Uint64(b)
+		s.found[k] = append(s.found[k], from)
+	}
+	if len(s.waiting) == 0 {
+		q.under = slices.Delete(q.under, i, i+1)
+		d.endSearch(s, t)
+	}
+}
+
+// endSearch goes on with the flows of a search.
+func (d *Director) endSearch(s *search, t time.Time) {
+	for _, k := range s.keys {
+		f := d.flows[k]
+		if f == nil || f.state != asking || !f.wide || len(f.packets) == 0 {
+			continue
+		}
+		if as := without(s.found[k.Hi], f.tried); len(as) > 0 {
+			d.question(f, as, t)
+			continue
+		}
+		f.silent = f.silent || d.missing(f, s)
+		for _, a := range s.unsure {
+			if !slices.Contains(f.unsure, a) && !slices.Contains(f.tried, a) {
+				d.unsure(f, a)
+			}
+		}
+		d.try(f, t)
+	}
+}
+
+// missing reports whether an agent that may have the flow did not answer.
+func (d *Director) missing(f *flow, s *search) bool {
+	services := d.routes.services(f.segment.Service)
+	return slices.ContainsFunc(s.waiting, func(w netip.AddrPort) bool {
+		a := d.agents.byAddr[w]
+		return a != nil && slices.Contains(services, a.service)
+	})
+}
+
+// tickSearches begins and ends searches whose time has come.
+func (d *Director) tickSearches(t time.Time) {
+	q := &d.searches
+	if len(q.next) > 0 && !t.Before(q.at) {
+		d.beginSearch(t)
+	}
+	for len(q.under) > 0 && !t.Before(q.under[0].until) {
+		s := q.under[0]
+		q.under = q.under[1:]
+		d.out = append(d.out, Action{Note: Note{
+			Event: "search ended", Candidates: len(s.waiting), Reason: balsampier.ReasonSilent, Revision: d.routes.revision,
+		}})
+		d.endSearch(s, t)
+	}
+}
+
+// nextSearch returns when tickSearches has something to do.
+func (d *Director) nextSearch() (time.Time, bool) {
+	q := &d.searches
+	switch {
+	case len(q.under) > 0 && (len(q.next) == 0 || q.under[0].until.Before(q.at)):
+		return q.under[0].until, true
+	case len(q.next) > 0:
+		return q.at, true
+	}
+	return time.Time{}, false
+}
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -5,6 +5,7 @@
 package hold
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -30,9 +31,13 @@
 	// learnFor is how long an agent that started after its server may lack
 	// flows that the server has: the longest life of a flow.
 	learnFor = 60 * time.Second
-	// clockSlack covers steps of the time of day between the starts of server
-	// and agent.
-	clockSlack = 10 * time.Second
+	// restartSlack is less than the time from the end of an agent to its next
+	// start: a server that started that much earlier took no packet of the run
+	// before.
+	restartSlack = 300 * time.Millisecond
+	// firstStatements are the heartbeats of a server that has just started:
+	// one for each time that it was not answered, and the first.
+	firstStatements = 4
 	// sweepInterval spaces the search for flows to forget.
 	sweepInterval = 2 * time.Second
 	// maxFlows bounds the remembered flows; servers hold some thousands.
@@ -40,6 +45,8 @@
 	// ackWindow is how far an acknowledgement may be ahead of the server's
 	// first number: 64 packets of 1,200 bytes.
 	ackWindow = 76_800
+	// keyBytes is the length of a flow in a search.
+	keyBytes = 8
 )
 
 const (
@@ -68,6 +75,8 @@
 		g      Config
 		server server
 		flows  map[balsampier.FlowKey]*flow
+		// byHash has the same flows by the part of the key that searches name.
+		byHash map[uint64]*flow
 		// open and running count flows and those with a request under way.
 		open, running int
 		due           []deadline
@@ -128,7 +137,7 @@
 
 // New returns the holder of an agent that starts at time t.
 func New(g Config, t time.Time) *Holder {
-	return &Holder{g: g, flows: make(map[balsampier.FlowKey]*flow), learnedAt: t.Add(learnFor)}
+	return &Holder{g: g, flows: make(map[balsampier.FlowKey]*flow), byHash: make(map[uint64]*flow), learnedAt: t.Add(learnFor)}
 }
 
 // Take returns what is to be done, in order. The slice is valid until the next
@@ -154,6 +163,10 @@
 
 // Relay decides on what a balancer sent. s is read from the payload.
 func (h *Holder) Relay(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, t time.Time) {
+	if r.Kind == balsampier.RelaySearch {
+		h.search(from, r, t)
+		return
+	}
 	f := h.flows[r.Flow]
 	if f != nil && h.expired(f, t) {
 		h.forget(r.Flow, f)
@@ -171,6 +184,21 @@
 	}
 }
 
+// search answers which of the flows in the payload the server has.
+func (h *Holder) search(from netip.AddrPort, r balsampier.Relay, t time.Time) {
+	k := balsampier.RelayNotMine
+	if h.server.here && h.mayLack(t) {
+		k = balsampier.RelayUnsure
+	}
+	var have []byte
+	for b := r.Payload; len(b) >= keyBytes; b = b[keyBytes:] {
+		if f := h.byHash[binary.BigEndian.Uint64(b)]; f != nil && f.run == h.server.run && !h.expired(f, t) {
+			have = append(have, b[:keyBytes]...)
+		}
+	}
+	h.answer(from, k, r.Flow, balsampier.ReasonNone, have)
+}
+
 // take decides on an opening packet.
 func (h *Holder) take(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
 	if f != nil && f.run == h.server.run && (f.state == open || f.answered) {
@@ -186,7 +214,7 @@
 	}
 	if f == nil {
 		f = &flow{}
-		h.flows[r.Flow] = f
+		h.keep(r.Flow, f)
 	}
 	f.segment, f.via, f.used, f.run, f.state, f.answered = s, from, t, h.server.run, half, false
 	h.server.asked(t)
@@ -250,7 +278,7 @@
 func (h *Holder) hand(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
 	if f == nil {
 		f = &flow{run: h.server.run}
-		h.flows[r.Flow] = f
+		h.keep(r.Flow, f)
 	}
 	f.segment, f.via, f.used = s, from, t
 	if f.state == half {
@@ -289,7 +317,7 @@
 // mayLack reports whether the server may have flows that the agent does not
 // know.
 func (h *Holder) mayLack(t time.Time) bool {
-	return !h.g.Fresh && t.Before(h.learnedAt) && h.server.state.Born.Before(h.g.Started.Add(clockSlack))
+	return !h.g.Fresh && t.Before(h.learnedAt) && !h.server.witnessed
 }
 
 // FromServer decides on a packet that the server sent or returned.
@@ -303,7 +331,7 @@
 	if f == nil {
 		if len(h.flows) < maxFlows {
 			f = &flow{segment: s, state: open, run: h.server.run}
-			h.flows[s.Key] = f
+			h.keep(s.Key, f)
 			h.open++
 		}
 	}
@@ -391,8 +419,11 @@
 func (h *Holder) forget(k balsampier.FlowKey, f *flow) {
 	h.settle(f)
 	delete(h.flows, k)
+	delete(h.byHash, k.Hi)
 }
 
+func (h *Holder) keep(k balsampier.FlowKey, f *flow) { h.flows[k], h.byHash[k.Hi] = f, f }
+
 // settle takes a flow out of the counts.
 func (h *Holder) settle(f *flow) {
 	if f.state == open {
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -159,8 +159,14 @@
 	}{
 		{"open flow", true, (*world).opens, acked(hostNumber + 500), balsampier.RelayMine},
 		{"unknown flow", true, func(*world) {}, acked(1), balsampier.RelayNotMine},
-		{"unknown flow, the agent started after the server", false, func(*world) {}, acked(1), balsampier.RelayUnsure},
-		{"the same, a lifetime later", false, func(w *world) { w.t = w.t.Add(61 * time.Second) }, acked(1), balsampier.RelayNotMine},
+		{"unknown flow, the agent started after the server", false, older, acked(1), balsampier.RelayUnsure},
+		{"unknown flow, both started together", false, func(*world) {}, acked(1), balsampier.RelayNotMine},
+		{"unknown flow, the clock was set back in between", false, func(w *world) {
+			s := state(time.Second, 9, false)
+			s.ID = "i-2"
+			w.h.Heartbeat(s)
+		}, acked(1), balsampier.RelayUnsure},
+		{"a lifetime after the start of the agent", false, func(w *world) { older(w); w.t = w.t.Add(61 * time.Second) }, acked(1), balsampier.RelayNotMine},
 		{"opening not answered", true, func(w *world) { w.relay(balsampier.RelayOpen, segment(true), 9) }, acked(1), balsampier.RelayNotMine},
 		{"opening answered, and acknowledged here", true, half, acked(hostNumber + 1), balsampier.RelayMine},
 		{"opening answered, acknowledged elsewhere", true, half, acked(hostNumber - 1), balsampier.RelayNotMine},
@@ -168,7 +174,7 @@
 			w.opens()
 			w.h.Heartbeat(state(time.Second, 1, false))
 		}, acked(hostNumber + 1), balsampier.RelayNotMine},
-		{"flow learnt from the server", false, func(w *world) { w.fromServer(segment(false)) }, acked(1), balsampier.RelayMine},
+		{"flow learnt from the server", false, func(w *world) { older(w); w.fromServer(segment(false)) }, acked(1), balsampier.RelayMine},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
@@ -182,6 +188,14 @@
 	}
 }
 
+// older replaces the server by one that started before the agent.
+func older(w *world) {
+	w.h = hold.New(hold.Config{
+		Service: "reservas", Started: start, Allowed: func(netip.AddrPort) (bool, balsampier.Revision) { return true, 9 },
+	}, start)
+	w.h.Heartbeat(state(-time.Second, 1, false))
+}
+
 func half(w *world) {
 	w.relay(balsampier.RelayOpen, segment(true), 9)
 	s := segment(true)
--- a/command/hold/server.go
+++ b/command/hold/server.go
@@ -17,6 +17,8 @@
 	state balsampier.ServerState
 	// run counts the runs of the server.
 	run uint64
+	// witnessed is true where the agent surely saw all packets of the run.
+	witnessed bool
 	// unanswered counts openings in turn without an answer.
 	unanswered int
 	// silent servers are offered one opening at probeAt.
@@ -39,6 +41,9 @@
 	case !same:
 		v.run = 1
 	}
+	if !same {
+		v.witnessed = s.Sequence <= firstStatements && !s.Born.Before(h.g.Started.Add(-restartSlack))
+	}
 	news = !same || !v.here || v.state.Draining != s.Draining || v.state.Slots != s.Slots
 	v.state, v.here = s, true
 	return news
--- a/command/replicate/replicate.go
+++ b/command/replicate/replicate.go
@@ -169,7 +169,9 @@
 	n.out.unsaved = n.log.last() + 1
 	n.out.restored = s.Snapshot.Index > 1
 	n.refreshSet()
-	n.resetElection()
+	// A replica that starts asks early: where there is a leader, the others
+	// refuse the pre-vote.
+	n.electAt = t.Add(g.Election/4 + time.Duration(g.Random.Uint64()%uint64(g.Election))/2)
 	return n, nil
 }
 
--- a/command/replicate/sim_test.go
+++ b/command/replicate/sim_test.go
@@ -50,13 +50,17 @@
 		slow int
 		// batch bounds the entries of one append.
 		batch int
+		// seeds make the log an open one.
+		seeds []balsampier.InstanceID
 	}
 
 	simNode struct {
-		n    *Node
-		id   balsampier.InstanceID
-		up   bool
-		disk balsampier.StoredLog
+		n *Node
+		// joining nodes of an open log found none.
+		joining bool
+		id      balsampier.InstanceID
+		up      bool
+		disk    balsampier.StoredLog
 		// unsynced is lost in a crash.
 		unsynced []balsampier.LogWork
 		applied  balsampier.Index
@@ -98,8 +102,11 @@
 	}
 	stored := d.disk
 	stored.Entries = slices.Clone(stored.Entries)
+	if s.seeds != nil {
+		ps = s.seeds
+	}
 	n, err := New(Config{
-		Instance: d.id, Peers: ps, Election: testElection, Random: s.rng, SnapshotEvery: 12, KeepEntries: 4,
+		Open: s.seeds != nil, Joining: d.joining, Instance: d.id, Peers: ps, Election: testElection, Random: s.rng, SnapshotEvery: 12, KeepEntries: 4,
 		MaxBatch: s.batch, MaxInflight: 8,
 	}, stored, s.now)
 	if err != nil {
--- a/process/http.go
+++ b/process/http.go
@@ -23,11 +23,13 @@
 // NewHTTPServer returns a server on l whose clients can hold no connection
 // without sending requests.
 func NewHTTPServer(l net.Listener) *khttp.Server {
-	// Without an endpoint kratos looks for one among the network interfaces,
-	// which not every machine lists.
-	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0),
-		khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}),
-		khttp.NotFoundHandler(http.NotFoundHandler()))
+	o := []khttp.ServerOption{khttp.Listener(l), khttp.Timeout(0), khttp.NotFoundHandler(http.NotFoundHandler())}
+	if l != nil {
+		// Without an endpoint kratos looks for one among the network
+		// interfaces, which not every machine lists.
+		o = append(o, khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
+	}
+	s := khttp.NewServer(o...)
 	s.ReadHeaderTimeout = headerTimeout
 	s.ReadTimeout = bodyTimeout
 	s.IdleTimeout = idleTimeout
--- a/relay.go
+++ b/relay.go
@@ -10,6 +10,10 @@
 	RelayTry
 	// RelayAsk asks an agent whether it has the flow of a packet.
 	RelayAsk
+	// RelaySearch asks an agent which of many flows it has. Its answer is
+	// RelayNotMine, or RelayUnsure where the agent does not know all flows of
+	// its server, with those that it has.
+	RelaySearch
 	// RelayTook says that the opening packet went to the server.
 	RelayTook
 	// RelayRefused says that the server does not take the flow; it has not
@@ -32,7 +36,8 @@
 	Relay struct {
 		// Kind is never zero.
 		Kind RelayKind
-		// Flow is never zero.
+		// Flow is never zero. Searches and their answers have their number in
+		// Lo and zero in Hi.
 		Flow FlowKey
 		// Service is the hash of the service meant, in RelayOpen only.
 		Service ServiceHash
@@ -54,5 +59,5 @@
 
 // String returns the name of the kind as it stands in logs and metrics.
 func (k RelayKind) String() string {
-	return [...]string{"none", "open", "deliver", "try", "ask", "took", "refused", "mine", "notMine", "unsure"}[k]
+	return [...]string{"none", "open", "deliver", "try", "ask", "search", "took", "refused", "mine", "notMine", "unsure"}[k]
 }
