--- a/cmd/agent/datagram/keep.go
+++ b/cmd/agent/datagram/keep.go
@@ -186,7 +186,11 @@
 	if !a.limit.Allow() {
 		return
 	}
-	a.log.Info().Uint64("flow", n.Flow.Hi).Str("client", n.Segment.Client.String()).Str("route", n.Segment.Service.String()).
+	run := ""
+	if s := a.server.Load(); s != nil {
+		run = s.ID
+	}
+	a.log.Info().Uint64("flow", n.Flow.Hi).Str("server", run).Str("client", n.Segment.Client.String()).Str("route", n.Segment.Service.String()).
 		Bool("opening", n.Segment.Opening).Str("balancer", n.Balancer.String()).Stringer("reason", n.Reason).
 		Uint64("revision", uint64(n.Revision)).Uint64("ownRevision", uint64(n.Own)).Msg(n.Event)
 }
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -187,7 +187,7 @@
 // search answers which of the flows in the payload the server has.
 func (h *Holder) search(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	k := balsampier.RelayNotMine
-	if h.server.here && h.mayLack(t) {
+	if h.mayLack(t) {
 		k = balsampier.RelayUnsure
 	}
 	var have []byte
@@ -308,7 +308,7 @@
 		return balsampier.RelayNotMine
 	case f != nil:
 		return balsampier.RelayMine
-	case !v.here || !h.mayLack(t):
+	case !h.mayLack(t):
 		return balsampier.RelayNotMine
 	}
 	return balsampier.RelayUnsure
@@ -317,7 +317,12 @@
 // mayLack reports whether the server may have flows that the agent does not
 // know.
 func (h *Holder) mayLack(t time.Time) bool {
-	return !h.g.Fresh && t.Before(h.learnedAt) && !h.server.witnessed
+	v := &h.server
+	if h.g.Fresh || !t.Before(h.learnedAt) {
+		return false
+	}
+	// A server that has said nothing yet may be older than the agent.
+	return !v.heard || v.here && !v.witnessed
 }
 
 // FromServer decides on a packet that the server sent or returned.
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -174,6 +174,16 @@
 			w.opens()
 			w.h.Heartbeat(state(time.Second, 1, false))
 		}, acked(hostNumber + 1), balsampier.RelayNotMine},
+		{"the server has said nothing yet", false, unheard, acked(1), balsampier.RelayUnsure},
+		{"flow learnt before the server said anything", false, func(w *world) {
+			unheard(w)
+			w.fromServer(segment(false))
+			w.h.Heartbeat(state(-time.Second, 9, false))
+		}, acked(1), balsampier.RelayMine},
+		{"the server left", false, func(w *world) {
+			older(w)
+			w.h.Leave("i-1")
+		}, acked(1), balsampier.RelayNotMine},
 		{"flow learnt from the server", false, func(w *world) { older(w); w.fromServer(segment(false)) }, acked(1), balsampier.RelayMine},
 	}
 	for _, v := range tests {
@@ -196,6 +206,13 @@
 	w.h.Heartbeat(state(-time.Second, 1, false))
 }
 
+// unheard replaces the server by one that has sent no heartbeat yet.
+func unheard(w *world) {
+	w.h = hold.New(hold.Config{
+		Service: "reservas", Started: start, Allowed: func(netip.AddrPort) (bool, balsampier.Revision) { return true, 9 },
+	}, start)
+}
+
 func half(w *world) {
 	w.relay(balsampier.RelayOpen, segment(true), 9)
 	s := segment(true)
--- a/command/hold/server.go
+++ b/command/hold/server.go
@@ -12,10 +12,12 @@
 
 // server is what the agent knows of the backend server beside it.
 type server struct {
-	// here is true from the first heartbeat until the farewell.
+	// heard is true from the first heartbeat on, here until the farewell.
+	heard bool
 	here  bool
 	state balsampier.ServerState
-	// run counts the runs of the server.
+	// run counts the later runs of the server. Flows that are learnt before
+	// the first heartbeat belong to the run that it tells of.
 	run uint64
 	// witnessed is true where the agent surely saw all packets of the run.
 	witnessed bool
@@ -35,17 +37,15 @@
 	switch {
 	case s.Born.Before(v.state.Born), same && s.Sequence <= v.state.Sequence:
 		return false
-	case !same && v.run > 0:
+	case !same && v.heard:
 		v.run++
 		v.silent, v.unanswered = false, 0
-	case !same:
-		v.run = 1
 	}
 	if !same {
 		v.witnessed = s.Sequence <= firstStatements && !s.Born.Before(h.g.Started.Add(-restartSlack))
 	}
 	news = !same || !v.here || v.state.Draining != s.Draining || v.state.Slots != s.Slots
-	v.state, v.here = s, true
+	v.state, v.here, v.heard = s, true, true
 	return news
 }
 
