--- /dev/null
+++ b/command/place/ramp_test.go
@@ -0,0 +1,49 @@
+package place_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/place"
+	"github.com/balsampier/balsampier/query/loadview"
+)
+
+// TestShareOfColdServers places 200 flows on two servers. Cold ones get flows
+// in proportion to the time since their start, so that two that started a
+// second apart do not share evenly until both are warm.
+func TestShareOfColdServers(t *testing.T) {
+	now := time.Date(2027, time.February, 20, 12, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name          string
+		first, second time.Duration
+		// least and most bound the flows of the first one.
+		least, most int
+	}{
+		{"both warm", 10 * time.Second, 11 * time.Second, 99, 101},
+		{"started together", 4 * time.Second, 4 * time.Second, 99, 101},
+		{"started 4 and 5 s ago", 4 * time.Second, 5 * time.Second, 88, 90},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			l := loadview.New()
+			l.Count(1, balsampier.Load{Slots: 5, Since: now.Add(-v.first), At: now})
+			l.Count(2, balsampier.Load{Slots: 5, Since: now.Add(-v.second), At: now})
+			c := place.NewChooser(place.DefaultSettings(), l)
+			ms := []balsampier.Member{{ID: 1, Slots: 5}, {ID: 2, Slots: 5}}
+			x, n := rand.New(rand.NewPCG(1, 1)), 0
+			for range 200 {
+				m, ok := c.Choose(ms, now, x)
+				qt.Assert(t, ok, qt.IsTrue)
+				l.Placed(m.ID, now)
+				if m.ID == 1 {
+					n++
+				}
+			}
+			qt.Assert(t, n >= v.least && n <= v.most, qt.IsTrue, qt.Commentf("%d", n))
+		})
+	}
+}
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -20,6 +20,7 @@
 start_agent 2 reservas
 start_agent 3 galeria
 start_agent 4 galeria
+cold_until=$((SECONDS + 12)) # Servers share evenly once their ramp of 10 s is over.
 routes=()
 for p in 8443 8444 8445; do routes+=(--route "127.0.0.1:$p=127.0.1.1:$p,127.0.1.2:$p"); done
 start fabric "$bin/standin" fabric "${routes[@]}"
@@ -62,6 +63,8 @@
 check "and that did not run" ran '"twice"' 0
 
 ran_at() { awk -v s="$1" -v b="\"$2" '$1 == s && index($5, b) == 1' "$run/backend.ledger" | wc -l; } # SERVER BODY
+warm() { [ "$SECONDS" -ge "$cold_until" ]; }
+check "the backend servers are warm" eventually 15 warm
 check "200 callers call reservas at once" call --keyed --method POST --callers 200 --body even --ledger "$run/caller.ledger" https://127.0.0.1:8443/holds
 even() { local a b; a=$(ran_at backend-1 even) b=$(ran_at backend-2 even); echo "$a and $b"; [ $((a + b)) = 200 ] && [ "$a" -le 110 ] && [ "$b" -le 110 ]; }
 check "neither server gets more than 1.1 times the mean" even
--- a/soak/promises.sh
+++ b/soak/promises.sh
@@ -28,7 +28,7 @@
 
 # replays prints how many entries a restarted instance replays.
 replays() { # N
-  tail -n 50 "$run/control-$1.log" | tr -d '"' | sed -n 's/.*snapshot:\([0-9]*\),last:\([0-9]*\).*/\1 \2/p' | tail -1 | awk '{ print $2 - $1 }'
+  tail -n 50 "$run/control-$1.out" | tr -d '"' | sed -n 's/.*snapshot:[0-9]*,entries:\([0-9]*\).*/\1/p' | tail -1
 }
 replays_few() { local n; n=$(replays "$1"); echo "replays $n entries"; [ -n "$n" ] && [ "$n" -lt 200 ]; }
 
