--- a/cmd/agent/datagram/agent.go
+++ b/cmd/agent/datagram/agent.go
@@ -193,11 +193,9 @@
 	if a.outbound, err = fabric.Listen(o.OutboundAddr, o.OutboundAddr, o.Clock); err != nil {
 		return nil, err
 	}
-	client := peer.NewControlClient(peer.NewKey(o.Key), a.seeds.PeerAddrs(), o.Random)
-	a.session, err = control.NewSession(control.Options{
-		Client: client, Clock: o.Clock, Random: o.Random, Logger: a.log, Instances: len(o.Seeds),
-		Seeds: a.seeds.PeerAddrs, Use: client.SetInstances, Documents: true, Member: a.Member, Changed: a.changed,
-	})
+	a.session, err = control.NewDocumentSession(control.Options{
+		Clock: o.Clock, Random: o.Random, Logger: a.log, Member: a.Member, Changed: a.changed,
+	}, peer.NewKey(o.Key), a.seeds)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/balancer/datagram/balancer.go
+++ b/cmd/balancer/datagram/balancer.go
@@ -163,11 +163,9 @@
 	if b.agents, err = fabric.Listen(o.PeerAddr, o.PeerAddr, o.Clock); err != nil {
 		return nil, err
 	}
-	client := peer.NewControlClient(peer.NewKey(o.Key), b.seeds.PeerAddrs(), o.Random)
-	b.session, err = control.NewSession(control.Options{
-		Client: client, Clock: o.Clock, Random: o.Random, Logger: b.log, Instances: len(o.Seeds),
-		Seeds: b.seeds.PeerAddrs, Use: client.SetInstances, Documents: true, Member: b.Member, Changed: b.changed,
-	})
+	b.session, err = control.NewDocumentSession(control.Options{
+		Clock: o.Clock, Random: o.Random, Logger: b.log, Member: b.Member, Changed: b.changed,
+	}, peer.NewKey(o.Key), b.seeds)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -61,6 +61,8 @@
 		random balsampier.Random
 		// config belongs to the replicate thread.
 		config replicate.Config
+		// openFolder opens the data folder.
+		openFolder func(string, balsampier.Random) (balsampier.LogStore, balsampier.StoredLog, error)
 		// opening counts openings of the disk; it belongs to the save thread.
 		opening uint64
 		replica replica
@@ -144,7 +146,7 @@
 		self = balsampier.NewAddrInstanceID(s.PeerAddr)
 	}
 	t := &Control{
-		s: s, clock: k, random: r, self: self,
+		s: s, clock: k, random: r, self: self, openFolder: openFolder,
 		log:       process.NewLogger("control", s.Name, s.Level()),
 		inputs:    ring.New[input]("inputs", s.RingDepth, ring.Reject),
 		work:      ring.New[batch]("work", 1, ring.Block),
--- a/cmd/control/app/relay.go
+++ b/cmd/control/app/relay.go
@@ -72,13 +72,11 @@
 			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre,
 		},
 	}
-	client := peer.NewControlClient(key, r.seeds.PeerAddrs(), random.System{})
 	var err error
-	r.session, err = control.NewSession(control.Options{
-		Client: client, Clock: k, Random: random.System{}, Logger: r.log, Instances: len(s.Seeds),
-		Seeds: r.seeds.PeerAddrs, Use: client.SetInstances, Documents: true,
+	r.session, err = control.NewDocumentSession(control.Options{
+		Clock: k, Random: random.System{}, Logger: r.log,
 		Member: func() (balsampier.Member, bool) { return r.member, true }, Changed: func(control.State) {},
-	})
+	}, key, r.seeds)
 	return r, err
 }
 
--- a/cmd/control/app/store.go
+++ b/cmd/control/app/store.go
@@ -28,6 +28,15 @@
 	}
 )
 
+// openFolder opens the data folder on the disk.
+func openFolder(folder string, r balsampier.Random) (balsampier.LogStore, balsampier.StoredLog, error) {
+	s, l, err := disk.OpenStore(folder, r)
+	if err != nil {
+		return nil, l, err
+	}
+	return s, l, nil
+}
+
 // save makes work durable, one after the other. After a fault it is not known
 // what lasts: the folder is opened anew, and the replica starts again from
 // what is found there.
@@ -55,7 +64,7 @@
 // openStore opens the data folder, as often as it takes.
 func (t *Control) openStore(c context.Context) (balsampier.LogStore, error) {
 	for failed := false; ; failed = true {
-		s, stored, err := disk.OpenStore(t.s.DataFolder, t.random)
+		s, stored, err := t.openFolder(t.s.DataFolder, t.random)
 		if err == nil {
 			t.opening++
 			t.log.Info().Uint64("snapshot", uint64(stored.Snapshot.Index)).Int("entries", len(stored.Entries)).Msg("disk opened")
--- /dev/null
+++ b/cmd/control/app/store_test.go
@@ -0,0 +1,82 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/peer"
+)
+
+// fullDisk is a store that refuses to save while it is full.
+type fullDisk struct {
+	balsampier.LogStore
+	full *atomic.Bool
+}
+
+func (d fullDisk) Save(w balsampier.LogWork) error {
+	if d.full.Load() {
+		return syscall.ENOSPC
+	}
+	return d.LogStore.Save(w)
+}
+
+// startDocuments runs the only instance of an open log until the test ends.
+func startDocuments(c *qt.C, full *atomic.Bool) *Control {
+	a := addrOf(listen(c))
+	s := Settings{Documents: true, PeerAddr: a, DataFolder: c.TempDir(), ElectionTimeout: minElectionTimeout}
+	s.Seeds = append(s.Seeds, a)
+	s.Name, s.LogLevel = "control-1", "error"
+	s.SetDefaults()
+	t, err := New(s, clock.System{}, fixed{}, peer.NewKey([]byte(testKey)))
+	c.Assert(err, qt.IsNil)
+	t.openFolder = func(f string, r balsampier.Random) (balsampier.LogStore, balsampier.StoredLog, error) {
+		s, l, err := openFolder(f, r)
+		return fullDisk{LogStore: s, full: full}, l, err
+	}
+	x, cancel := context.WithCancel(context.Background())
+	var w sync.WaitGroup
+	for _, d := range t.Threads() {
+		w.Go(func() { _ = d.Start(x) })
+	}
+	c.Cleanup(func() {
+		cancel()
+		w.Wait()
+	})
+	return t
+}
+
+func (t *Control) awaitReady(c *qt.C) {
+	c.Helper()
+	for end := time.Now().Add(20 * time.Second); t.Ready() != nil; time.Sleep(retryPause) {
+		c.Assert(time.Now().Before(end), qt.IsTrue)
+	}
+}
+
+// TestDiskLost has the disk refuse a write: the instance gives up its part,
+// opens the folder again and has all that it acknowledged.
+func TestDiskLost(t *testing.T) {
+	c := qt.New(t)
+	var full atomic.Bool
+	d := startDocuments(c, &full)
+	d.awaitReady(c)
+	x := context.Background()
+	for i := range 3 {
+		c.Assert(d.Put(x, balsampier.Document{Version: balsampier.Revision(i + 1), Text: "routes"}), qt.IsNil)
+	}
+	full.Store(true)
+	c.Assert(d.Put(x, balsampier.Document{Version: 4, Text: "routes"}), qt.IsNotNil)
+	full.Store(false)
+	d.awaitReady(c)
+	c.Assert(d.Put(x, balsampier.Document{Version: 5, Text: "newer"}), qt.IsNil)
+	n, err := d.Newest(x)
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, balsampier.Document{Version: 5, Text: "newer"})
+}
--- a/command/follow/follow.go
+++ b/command/follow/follow.go
@@ -34,8 +34,13 @@
 	Patience = 8 * members.HeartbeatInterval
 )
 
-// reconnect spaces attempts to reach a control instance.
-var reconnect = backoff.Policy{Base: 200 * time.Millisecond, Cap: 2 * time.Second}
+var (
+	// reconnect spaces attempts to reach a control instance.
+	reconnect = backoff.Policy{Base: 200 * time.Millisecond, Cap: 2 * time.Second}
+	// starting spaces them while the follower has no state to serve by, as
+	// after a loss of power, when control starts at the same time.
+	starting = backoff.Policy{Base: 100 * time.Millisecond, Cap: 200 * time.Millisecond}
+)
 
 type (
 	// State tells how a follower stands with control.
@@ -165,7 +170,11 @@
 func (f *Follower) Broke(t time.Time, r balsampier.Random) {
 	f.state = StateWaiting
 	f.instance = (f.instance + 1) % f.instances
-	f.retryAt = t.Add(reconnect.Delay(f.failures, r))
+	p := reconnect
+	if !f.ready {
+		p = starting
+	}
+	f.retryAt = t.Add(p.Delay(f.failures, r))
 	f.failures++
 }
 
--- /dev/null
+++ b/control/documents.go
@@ -0,0 +1,20 @@
+package control
+
+import (
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/peer"
+)
+
+// NewDocumentSession returns a session that finds control through seeds and
+// follows numbered documents. o has the clock, the source of randomness, the
+// log and what tells of the member.
+func NewDocumentSession(o Options, k peer.Key, s *Seeds) (*Session, error) {
+	as := s.PeerAddrs()
+	if len(as) == 0 {
+		return nil, balsampier.NewError(balsampier.KindInvalid, "find control", "list seeds in the settings", nil)
+	}
+	l := peer.NewControlClient(k, as, o.Random)
+	o.Client, o.Instances, o.Documents = l, len(as), true
+	o.Seeds, o.Use = s.PeerAddrs, l.SetInstances
+	return NewSession(o)
+}
