fix: try and count agents of services that a route may have had before

Cause: a balancer that had started lately knew only the services of the present routes. TestEarlierService and TestSilentAgentOfAnotherService failed before.

--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -57,6 +57,9 @@
 // AdoptView takes over a newer view at time t.
 func (d *Director) AdoptView(v balsampier.View, t time.Time) {
 	g := &d.agents
+	if d.started.IsZero() {
+		d.started = t
+	}
 	seen := make(map[netip.AddrPort]bool, len(v.Members))
 	for _, m := range v.Members {
 		if m.Role != balsampier.RoleAgent {
@@ -189,19 +192,24 @@
 	return out
 }
 
-// unseen reports whether an agent of the services may live outside of the
-// view. One that left while it drained had its server's farewell.
-func (g *agents) unseen(ss []balsampier.ServiceName, t time.Time) bool {
-	for _, s := range ss {
-		for _, a := range g.service[s] {
-			if !a.left.IsZero() && !a.draining && t.Sub(a.left) < unseenFor {
-				return true
-			}
+// unseen reports whether an agent that may have flows to the address may live
+// outside of the view. One that left while it drained had its server's
+// farewell.
+func (d *Director) unseen(to netip.AddrPort, t time.Time) bool {
+	for _, a := range d.agents.byAddr {
+		if !a.left.IsZero() && !a.draining && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
+			return true
 		}
 	}
 	return false
 }
 
+// mayHave reports whether an agent may have flows to the address. A balancer
+// that started lately does not know which services the route had before.
+func (d *Director) mayHave(a *agent, to netip.AddrPort, t time.Time) bool {
+	return t.Sub(d.started) < departedFor || slices.Contains(d.routes.services(to), a.service)
+}
+
 // heard takes in the load of an agent that answered.
 func (g *agents) heard(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	a := g.byAddr[from]
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -66,10 +66,12 @@
 	// Director holds the flows of one balancer. It is serialized by its
 	// caller.
 	Director struct {
-		zone   balsampier.DataCentre
-		routes routes
-		agents agents
-		flows  map[balsampier.FlowKey]*flow
+		zone balsampier.DataCentre
+		// started is when the first view came.
+		started time.Time
+		routes  routes
+		agents  agents
+		flows   map[balsampier.FlowKey]*flow
 		// searches look for flows at all agents.
 		searches searches
 		// parked counts the waiting packets of all flows.
@@ -107,7 +109,10 @@
 		// waiting are the agents asked that have not answered; unsure those
 		// that do not know; wide is true once all were asked.
 		waiting, unsure []netip.AddrPort
-		wide            bool
+		// unsureElse are those that do not know and whose service is none of
+		// the route's.
+		unsureElse []netip.AddrPort
+		wide       bool
 		// silent is true when an agent that was asked did not answer.
 		silent bool
 	}
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -328,3 +328,65 @@
 	}
 	w.Assert(n, qt.Equals, 49)
 }
+
+// TestEarlierService looks for a flow that was placed in a service which the
+// route had before this balancer started. Its agent has started again and does
+// not know: the packet is tried there too, behind the servers of the route.
+func TestEarlierService(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	as := w.packet(false)
+	var tried []netip.AddrPort
+	resets, silent := 0, false
+	for range 20 {
+		var next []direct.Action
+		for _, a := range as {
+			tried = append(tried, sent([]direct.Action{a}, balsampier.RelayTry)...)
+			if a.Reset != nil {
+				resets++
+			}
+			if !a.To.IsValid() || a.Relay.Kind == balsampier.RelayDeliver {
+				continue
+			}
+			k := balsampier.RelayUnsure
+			if a.Relay.Kind == balsampier.RelayTry {
+				k = balsampier.RelayNotMine
+				silent = silent || a.To == agentAddr(99)
+			}
+			if silent {
+				continue // The server of galeria keeps the packet: it has the flow.
+			}
+			w.d.Answer(a.To, balsampier.Relay{Kind: k, Flow: a.Relay.Flow}, w.t)
+			next = append(next, w.d.Take()...)
+		}
+		if as = next; len(as) == 0 {
+			as = append(as, w.pass(50*time.Millisecond)...)
+		}
+	}
+	w.Assert(tried, qt.HasLen, 3)
+	w.Assert(tried[2], qt.Equals, agentAddr(99))
+	w.Assert(resets, qt.Equals, 0)
+}
+
+// TestSilentAgentOfAnotherService keeps a flow from being reset: the route may
+// have had the service before this balancer started.
+func TestSilentAgentOfAnotherService(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	as := w.packet(false)
+	n := 0
+	for range 10 {
+		var next []direct.Action
+		for _, a := range as {
+			if a.Reset != nil {
+				n++
+			}
+			if a.To.IsValid() && a.To != agentAddr(99) {
+				w.d.Answer(a.To, balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}, w.t)
+				next = append(next, w.d.Take()...)
+			}
+		}
+		if as = next; len(as) == 0 {
+			as = append(as, w.pass(50*time.Millisecond)...)
+		}
+	}
+	w.Assert(n, qt.Equals, 0)
+}
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -62,7 +62,7 @@
 // ask asks the likeliest agents who has the flow.
 func (d *Director) ask(f *flow, t time.Time) {
 	f.state, f.agent, f.wide, f.silent = asking, netip.AddrPort{}, false, false
-	f.unsure, f.waiting = nil, nil
+	f.unsure, f.unsureElse, f.waiting = nil, nil, nil
 	f.since = t
 	services := d.routes.services(f.segment.Service)
 	d.question(f, d.agents.likely(f.segment.Key, services, f.tried, t), t)
@@ -95,14 +95,15 @@
 	d.try(f, t)
 }
 
-// unsure takes in that an agent does not know. Packets are tried at servers of
-// the route only.
+// unsure takes in that an agent does not know. Servers of the route are tried
+// first; a flow may be of a service that the route had before.
 func (d *Director) unsure(f *flow, from netip.AddrPort) {
-	if a := d.agents.byAddr[from]; a != nil && slices.Contains(d.routes.services(f.segment.Service), a.service) {
-		f.unsure = append(f.unsure, from)
+	a := d.agents.byAddr[from]
+	if a == nil || !slices.Contains(d.routes.services(f.segment.Service), a.service) {
+		f.unsureElse = append(f.unsureElse, from)
 		return
 	}
-	f.silent = true
+	f.unsure = append(f.unsure, from)
 }
 
 // lost gives up a flow that nobody has. The client is told at once where it is
@@ -110,7 +111,7 @@
 // none may live unseen.
 func (d *Director) lost(f *flow, t time.Time) {
 	s := f.segment
-	if !f.silent && !s.Reset && !d.agents.unseen(d.routes.services(s.Service), t) {
+	if !f.silent && !s.Reset && !d.unseen(s.Service, t) {
 		d.note("reset", f, netip.AddrPort{}, balsampier.ReasonHolderGone, 0)
 		d.out = append(d.out, Action{Reset: &s})
 		d.forget(s.Key, f)
@@ -124,6 +125,9 @@
 
 // try gives the first packet to the next agent that does not know.
 func (d *Director) try(f *flow, t time.Time) {
+	if len(f.unsure) == 0 {
+		f.unsure, f.unsureElse = f.unsureElse, nil
+	}
 	if len(f.unsure) == 0 || len(f.packets) == 0 {
 		d.lost(f, t)
 		return
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -114,9 +114,9 @@
 			d.question(f, as, t)
 			continue
 		}
-		f.silent = f.silent || d.missing(f, s)
+		f.silent = f.silent || d.missing(f, s, t)
 		for _, a := range s.unsure {
-			if !slices.Contains(f.unsure, a) && !slices.Contains(f.tried, a) {
+			if !slices.Contains(f.unsure, a) && !slices.Contains(f.unsureElse, a) && !slices.Contains(f.tried, a) {
 				d.unsure(f, a)
 			}
 		}
@@ -125,11 +125,10 @@
 }
 
 // missing reports whether an agent that may have the flow did not answer.
-func (d *Director) missing(f *flow, s *search) bool {
-	services := d.routes.services(f.segment.Service)
+func (d *Director) missing(f *flow, s *search, t time.Time) bool {
 	return slices.ContainsFunc(s.waiting, func(w netip.AddrPort) bool {
 		a := d.agents.byAddr[w]
-		return a != nil && slices.Contains(services, a.service)
+		return a != nil && d.mayHave(a, f.segment.Service, t)
 	})
 }
 
