fix: bound what an overloaded balancer sends after a flow or an opening

An opening stops after three silent agents and begins anew with the client's copy; lost flows are asked for less and less often; searches are spaced.

--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -167,11 +167,11 @@
 }
 
 // likely returns the agents that most likely have a flow.
-func (g *agents) likely(k balsampier.FlowKey, ss []balsampier.ServiceName, not []netip.AddrPort, t time.Time) []netip.AddrPort {
+func (g *agents) likely(k balsampier.FlowKey, ss []balsampier.ServiceName, not []netip.AddrPort) []netip.AddrPort {
 	var as []*agent
 	for _, s := range ss {
 		for _, a := range g.service[s] {
-			if a.left.IsZero() && !t.Before(a.suspectUntil) {
+			if a.left.IsZero() {
 				as = append(as, a)
 			}
 		}
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -31,9 +31,14 @@
 	askTimeout = 40 * time.Millisecond
 	// tryTimeout is how long a server may take to return a packet.
 	tryTimeout = 100 * time.Millisecond
-	// againAfter spaces questions after a flow that nobody had: a client
-	// repeats a packet after 200 ms at first.
+	// againAfter and againMost space questions after a flow that nobody had,
+	// from the first to the later ones: a client repeats a packet after 200 ms
+	// at first, and twice as late each time.
 	againAfter = 150 * time.Millisecond
+	againMost  = 2400 * time.Millisecond
+	// maxSilent is how many agents in turn may leave an opening unanswered
+	// until the fault is looked for on this side.
+	maxSilent = 3
 	// suspectFor is how long an agent that was silent or whose server was is
 	// asked last.
 	suspectFor = time.Second
@@ -102,8 +107,12 @@
 		attempt uint32
 		// packets wait: the opening one while the state is opening.
 		packets [][]byte
-		// tried are agents that refused or did not answer.
-		tried []netip.AddrPort
+		// tried are agents that refused or did not answer; silences counts
+		// the latter.
+		tried    []netip.AddrPort
+		silences int
+		// again is how long the flow is not asked for after it was not found.
+		again time.Duration
 		// refused is true when an agent answered that it does not take it.
 		refused bool
 		// waiting are the agents asked that have not answered; unsure those
@@ -193,7 +202,7 @@
 		d.relay(f, balsampier.RelayOpen, f.agent, b)
 	case f.state == open || f.state == opening:
 		d.deliver(f, b)
-	case f.state == nobody && t.Sub(f.since) < againAfter:
+	case f.state == nobody && !s.Opening && t.Sub(f.since) < f.again:
 		d.note("dropped", f, f.agent, balsampier.ReasonUnknownFlow, 0)
 	case f.state == nobody && s.Opening:
 		d.forget(s.Key, f)
@@ -377,6 +386,12 @@
 		d.agents.suspect(f.agent, t)
 		d.note("silent", f, f.agent, balsampier.ReasonSilent, 0)
 		f.tried = append(f.tried, f.agent)
+		if f.silences++; f.silences >= maxSilent {
+			// The client's copy begins anew.
+			d.note("dropped", f, f.agent, balsampier.ReasonSilent, 0)
+			d.forget(f.segment.Key, f)
+			return
+		}
 		d.place(f, t)
 	case asking:
 		d.note("silent", f, f.waiting[0], balsampier.ReasonSilent, len(f.waiting))
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -390,3 +390,35 @@
 	}
 	w.Assert(n, qt.Equals, 0)
 }
+
+// TestSilenceIsBounded leaves an opening unanswered by agent after agent: the
+// balancer, not they, is likely at fault. It waits for the client's copy, and
+// then begins anew.
+func TestSilenceIsBounded(t *testing.T) {
+	w := newWorld(qt.New(t), 20)
+	n := len(sent(w.packet(true), balsampier.RelayOpen))
+	for range 20 {
+		as := w.pass(50 * time.Millisecond)
+		n += len(sent(as, balsampier.RelayOpen))
+		w.Assert(resets(as), qt.Equals, 0)
+	}
+	w.Assert(n, qt.Equals, 3)
+	w.Assert(sent(w.packet(true), balsampier.RelayOpen), qt.HasLen, 1)
+}
+
+// TestLostFlowIsAskedForLessOften repeats a packet of a flow that is not found
+// every 200 ms: it is asked for less and less often.
+func TestLostFlowIsAskedForLessOften(t *testing.T) {
+	w := newWorld(qt.New(t), 3)
+	asked := 0
+	for i := range 200 {
+		var as []direct.Action
+		if i%4 == 0 {
+			as = w.packet(false)
+		}
+		asked += len(sent(as, balsampier.RelayAsk))
+		asked += len(sent(w.pass(50*time.Millisecond), balsampier.RelayAsk))
+	}
+	w.Assert(asked <= 8*3, qt.IsTrue, qt.Commentf("%d", asked))
+	w.Assert(asked >= 3*3, qt.IsTrue, qt.Commentf("%d", asked))
+}
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -14,7 +14,7 @@
 		return
 	}
 	d.note("found", f, from, balsampier.ReasonNone, 0)
-	f.state, f.agent = open, from
+	f.state, f.agent, f.again = open, from, 0
 	f.attempt++
 	for _, b := range f.packets {
 		d.relay(f, balsampier.RelayDeliver, from, b)
@@ -65,7 +65,7 @@
 	f.unsure, f.unsureElse, f.waiting = nil, nil, nil
 	f.since = t
 	services := d.routes.services(f.segment.Service)
-	d.question(f, d.agents.likely(f.segment.Key, services, f.tried, t), t)
+	d.question(f, d.agents.likely(f.segment.Key, services, f.tried), t)
 }
 
 // question asks the agents given, and goes on at once where there are none.
@@ -119,6 +119,7 @@
 	}
 	d.note("lost", f, netip.AddrPort{}, balsampier.ReasonUnknownFlow, 0)
 	f.state, f.since, f.agent = nobody, t, netip.AddrPort{}
+	f.again = min(max(2*f.again, againAfter), againMost)
 	f.tried = f.tried[:0]
 	d.unpark(f)
 }
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -13,6 +13,9 @@
 	// searchDelay is how long a search waits for more flows, so that one
 	// message to each agent asks for many.
 	searchDelay = 10 * time.Millisecond
+	// searchInterval spaces searches: each is a message to every agent, of
+	// which a small balancer handles some hundreds a second.
+	searchInterval = 60 * time.Millisecond
 	// searchTimeout bounds the wait for the answers to a search.
 	searchTimeout = 80 * time.Millisecond
 	// maxSearched bounds the flows of one search: with 8 bytes each a message
@@ -28,6 +31,8 @@
 		// next is the search that has not begun; empty while there is none.
 		next []balsampier.FlowKey
 		at   time.Time
+		// began is when the newest search began.
+		began time.Time
 		// under are the searches under way, oldest first.
 		under []*search
 		// number is that of the newest search.
@@ -54,6 +59,9 @@
 	f.attempt++
 	if len(q.next) == 0 {
 		q.at = t.Add(searchDelay)
+		if e := q.began.Add(searchInterval); e.After(q.at) {
+			q.at = e
+		}
 	}
 	q.next = append(q.next, f.segment.Key)
 	if len(q.next) >= maxSearched {
@@ -65,6 +73,7 @@
 func (d *Director) beginSearch(t time.Time) {
 	q := &d.searches
 	q.number++
+	q.began = t
 	s := &search{
 		number: q.number, keys: q.next, until: t.Add(searchTimeout), waiting: d.agents.all(),
 		found: make(map[uint64][]netip.AddrPort),
