fix: give a flow up whose packet finds no room; check seeds and returned packets

A balancer with 4,096 waiting packets panicked on the next unknown flow (TestNoRoomForPackets failed before); seeds that are no IPv4 addresses panicked at the start, they are now a fault of the settings.

--- a/cmd/agent/datagram/agent.go
+++ b/cmd/agent/datagram/agent.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -267,12 +266,12 @@
 
 // heartbeat takes over what the server says. Its answer leaves only after the
 // thread that keeps flows obeys it.
-func (a *Agent) heartbeat(r *http.Request, s balsampier.ServerState) error {
-	return a.state(r.Context(), &statement{heartbeat: &s, done: make(chan error, 1)})
+func (a *Agent) heartbeat(c context.Context, s balsampier.ServerState) error {
+	return a.state(c, &statement{heartbeat: &s, done: make(chan error, 1)})
 }
 
-func (a *Agent) farewell(r *http.Request, id string) error {
-	return a.state(r.Context(), &statement{id: id, done: make(chan error, 1)})
+func (a *Agent) farewell(c context.Context, id string) error {
+	return a.state(c, &statement{id: id, done: make(chan error, 1)})
 }
 
 func (a *Agent) state(c context.Context, s *statement) error {
--- a/cmd/control/app/settings.go
+++ b/cmd/control/app/settings.go
@@ -91,15 +91,32 @@
 		f.Add("electionTimeout", s.ElectionTimeout.String(), "write at least "+minElectionTimeout.String())
 	}
 	if s.Documents {
-		if len(s.Seeds) == 0 {
-			f.Add("seeds", "", "list the address of at least one control instance")
-		}
+		s.checkSeeds(f)
 		return
 	}
 	f.Required("dataFolder", s.DataFolder)
 	s.checkInstances(f)
 }
 
+// checkSeeds also holds the addresses to IPv4: instances found through seeds
+// are identified by them.
+func (s *Settings) checkSeeds(f *settings.Faults) {
+	if len(s.Seeds) == 0 {
+		f.Add("seeds", "", "list the address of at least one control instance")
+	}
+	if s.PeerAddr.IsValid() && !s.PeerAddr.Addr().Unmap().Is4() {
+		f.Add("peerAddress", s.PeerAddr.String(), "write an IPv4 address, as documents is set")
+	}
+	for i, a := range s.Seeds {
+		if !a.Addr().Unmap().Is4() {
+			f.Add(fmt.Sprintf("seeds[%d]", i), a.String(), "write an IPv4 address:port")
+		}
+	}
+	if s.Tolerance < 0 || 2*s.Tolerance+1 > maxInstances {
+		f.Add("tolerance", fmt.Sprint(s.Tolerance), fmt.Sprintf("write 0 to %d", (maxInstances-1)/2))
+	}
+}
+
 func (s *Settings) checkInstances(f *settings.Faults) {
 	if len(s.Instances) > maxInstances {
 		f.Add("instances", fmt.Sprint(len(s.Instances)), fmt.Sprintf("list at most %d", maxInstances))
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -222,7 +222,7 @@
 		d.noRoute(s)
 		return
 	}
-	if len(d.flows) >= maxFlows || s.Reset && s.Opening {
+	if len(d.flows) >= maxFlows {
 		d.out = append(d.out, Action{Note: Note{Event: "dropped", Flow: s.Key, Segment: s, Reason: balsampier.ReasonFull}})
 		return
 	}
@@ -254,6 +254,9 @@
 
 // place sends the opening packet to the next agent.
 func (d *Director) place(f *flow, t time.Time) {
+	if d.roomless(f) {
+		return
+	}
 	a, n := d.agents.choose(f, d.zone, t)
 	if !a.IsValid() {
 		a, n = d.chooseOther(f, t)
@@ -270,6 +273,17 @@
 	d.note("placed", f, a, balsampier.ReasonNone, n)
 }
 
+// roomless gives a flow up whose packet found no room to wait in, and reports
+// whether it did.
+func (d *Director) roomless(f *flow) bool {
+	if len(f.packets) > 0 {
+		return false
+	}
+	d.note("dropped", f, f.agent, balsampier.ReasonFull, 0)
+	d.forget(f.segment.Key, f)
+	return true
+}
+
 // chooseOther looks for an agent of the other services of the route.
 func (d *Director) chooseOther(f *flow, t time.Time) (netip.AddrPort, int) {
 	r, ok := d.routes.find(f.segment.Service)
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -422,3 +422,27 @@
 	w.Assert(asked <= 8*3, qt.IsTrue, qt.Commentf("%d", asked))
 	w.Assert(asked >= 3*3, qt.IsTrue, qt.Commentf("%d", asked))
 }
+
+// TestNoRoomForPackets has so many flows wait that no packet of another one
+// can: the flow is given up, and known flows go on.
+func TestNoRoomForPackets(t *testing.T) {
+	for _, opening := range []bool{false, true} {
+		w := newWorld(qt.New(t), 3)
+		at := sent(w.packet(true), balsampier.RelayOpen)
+		w.answer(at[0], balsampier.RelayTook, 0)
+		for i := range 6000 {
+			s := segment(opening)
+			s.Client = netip.AddrPortFrom(client.Addr(), uint16(10_000+i))
+			s.Key = balsampier.NewFlowKey(s.Client, to, nil)
+			w.d.Packet(s, []byte("packet"), w.t)
+		}
+		w.d.Take()
+		w.Assert(sent(w.packet(false), balsampier.RelayDeliver), qt.HasLen, 1)
+		w.d.Answer(at[0], balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: segment(false).Key, Payload: []byte("packet")}, w.t)
+		w.d.Take()
+		for range 10 {
+			w.pass(50 * time.Millisecond)
+		}
+		w.Assert(sent(w.packet(true), balsampier.RelayOpen), qt.HasLen, 1)
+	}
+}
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -61,6 +61,9 @@
 
 // ask asks the likeliest agents who has the flow.
 func (d *Director) ask(f *flow, t time.Time) {
+	if d.roomless(f) {
+		return
+	}
 	f.state, f.agent, f.wide, f.silent = asking, netip.AddrPort{}, false, false
 	f.unsure, f.unsureElse, f.waiting = nil, nil, nil
 	f.since = t
