--- /dev/null
+++ b/cmd/balancer/datagram/balancer_test.go
@@ -0,0 +1,177 @@
+package datagram
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/fabric"
+	"github.com/balsampier/balsampier/peer"
+	"github.com/balsampier/balsampier/platform"
+	"github.com/balsampier/balsampier/settings"
+)
+
+const (
+	testKey = "0123456789abcdef0123456789abcdef"
+	routes  = `{"version":3,"routes":[{"name":"a","hostname":"198.18.0.1","path_prefix":"/443/","timeout_ms":1,"service":"x"}],"services":[{"name":"x"}]}`
+)
+
+var (
+	loopback  = netip.MustParseAddrPort("127.0.0.1:0")
+	agentAddr = netip.MustParseAddrPort("192.0.2.9:7000")
+	// opening is a packet from 100.64.0.7:40001 to 198.18.0.1:443.
+	opening = []byte{
+		0, 0, 0, 0, 0xd5, 0xc3, 0xb2, 0xa1, 1, 0, 0, 0, 1, 0, 0x12, 0xc6, 0xbb, 1, 0x41, 0x9c, 7, 0, 0x40, 0x64,
+		0, 0, 0x44, 0x33, 0x22, 0x11, 0, 0, 0, 0,
+	}
+)
+
+// fixed is a source of random numbers without surprises.
+type fixed struct{}
+
+func (fixed) Uint64() uint64 { return 42 }
+
+func newTestBalancer(c *qt.C) *Balancer {
+	o := Options{
+		Settings: Settings{ClientAddr: loopback, Seeds: []netip.AddrPort{agentAddr}, ControlPort: 7100},
+		Common:   settings.Common{Name: "balancer-1", DataCentre: "lima-1", LogLevel: "error"},
+		PeerAddr: loopback, Key: []byte(testKey), Random: fixed{},
+		Clock: clock.NewFake(time.Date(2027, time.February, 20, 12, 0, 0, 0, time.UTC)),
+		Codec: platform.Codec{}, Parser: platform.Parser{},
+	}
+	b, err := New(o)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		_ = b.clients.Close()
+		_ = b.agents.Close()
+	})
+	b.adopt(control.State{
+		Rules: balsampier.RuleFile{Revision: 3, Text: routes},
+		View: balsampier.View{Epoch: 1, Members: []balsampier.Member{{
+			ID: 1, Name: "agent-1", Role: balsampier.RoleAgent, Addr: agentAddr, Service: "x", Slots: 3, DataCentre: "lima-1",
+		}}},
+	})
+	return b
+}
+
+// sent returns what waits to be sent.
+func (b *Balancer) sent(c *qt.C) []output {
+	var os [batchSize]output
+	x, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	n, err := b.outputs.Pop(x, os[:])
+	if err != nil {
+		c.Assert(x.Err(), qt.IsNotNil)
+	}
+	return os[:n]
+}
+
+func (b *Balancer) arrives(p []byte) {
+	b.take(context.Background(), input{packet: fabric.Datagram{Payload: p, Caller: agentAddr, At: b.o.Clock.Now()}})
+}
+
+// TestPackets follows an opening packet to its agent and a later one behind
+// it, unchanged.
+func TestPackets(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBalancer(c)
+	s := peer.NewSealer([]byte(testKey))
+	b.arrives(append([]byte(nil), opening...))
+	os := b.sent(c)
+	c.Assert(os, qt.HasLen, 1)
+	c.Assert(os[0].to, qt.Equals, agentAddr)
+	r, err := s.OpenRelay(os[0].b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Kind, qt.Equals, balsampier.RelayOpen)
+	c.Assert(r.Payload, qt.DeepEquals, opening)
+	took, err := s.SealRelay(nil, &balsampier.Relay{Kind: balsampier.RelayTook, Flow: r.Flow, Load: balsampier.Load{Slots: 3}})
+	c.Assert(err, qt.IsNil)
+	b.take(context.Background(), input{answer: fabric.Datagram{Payload: took, Caller: agentAddr, At: b.o.Clock.Now()}})
+	later := append([]byte(nil), opening...)
+	later[8] = 32
+	b.arrives(later)
+	os = b.sent(c)
+	c.Assert(os, qt.HasLen, 1)
+	r, err = s.OpenRelay(os[0].b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Kind, qt.Equals, balsampier.RelayDeliver)
+	c.Assert(r.Payload, qt.DeepEquals, later)
+}
+
+// TestBadDatagrams sends what is no packet and no answer of ours.
+func TestBadDatagrams(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBalancer(c)
+	other, err := peer.NewSealer([]byte("another key of 16 bytes")).SealRelay(nil, &balsampier.Relay{
+		Kind: balsampier.RelayTook, Flow: balsampier.FlowKey{Hi: 1, Lo: 1},
+	})
+	c.Assert(err, qt.IsNil)
+	own, err := peer.NewSealer([]byte(testKey)).SealRelay(nil, &balsampier.Relay{
+		Kind: balsampier.RelayNotMine, Flow: balsampier.FlowKey{Hi: 1, Lo: 1}, Payload: []byte("short"),
+	})
+	c.Assert(err, qt.IsNil)
+	b.arrives([]byte("short"))
+	for _, a := range [][]byte{{1}, other, own} {
+		b.take(context.Background(), input{answer: fabric.Datagram{Payload: a, Caller: agentAddr, At: b.o.Clock.Now()}})
+	}
+	c.Assert(b.sent(c), qt.HasLen, 0)
+	c.Assert(b.director.Flows(), qt.Equals, 0)
+}
+
+// TestReset answers an opening to an address without a route at the client's
+// address and the port that the routers use.
+func TestReset(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBalancer(c)
+	p := append([]byte(nil), opening...)
+	p[12] = 2
+	b.arrives(p)
+	os := b.sent(c)
+	c.Assert(os, qt.HasLen, 1)
+	c.Assert(os[0].toClient, qt.IsTrue)
+	c.Assert(os[0].to.Addr(), qt.Equals, netip.MustParseAddr("100.64.0.7"))
+	d, err := platform.Codec{}.Decode(os[0].b, false)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Reset, qt.IsTrue)
+}
+
+func TestDump(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBalancer(c)
+	b.arrives(append([]byte(nil), opening...))
+	o, err := json.Marshal(b.Dump())
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(o), qt.Contains, `"program":"balancer"`)
+	c.Assert(string(o), qt.Not(qt.Contains), testKey)
+	c.Assert(b.Ready(), qt.IsNotNil)
+}
+
+// BenchmarkPacket is the cost of a packet of a known flow between the sockets:
+// decoding, deciding and sealing.
+func BenchmarkPacket(b *testing.B) {
+	c := qt.New(b)
+	d := newTestBalancer(c)
+	d.arrives(append([]byte(nil), opening...))
+	r, err := peer.NewSealer([]byte(testKey)).OpenRelay(d.sent(c)[0].b)
+	c.Assert(err, qt.IsNil)
+	d.director.Answer(agentAddr, balsampier.Relay{Kind: balsampier.RelayTook, Flow: r.Flow}, d.o.Clock.Now())
+	p := append(append([]byte(nil), opening...), make([]byte, 900)...)
+	p[8], p[24], p[25] = 32, 0x84, 3
+	var os [batchSize]output
+	b.ReportAllocs()
+	for b.Loop() {
+		d.arrives(p)
+		n, err := d.outputs.Pop(context.Background(), os[:])
+		if err != nil || n != 1 {
+			b.Fatal(n, err)
+		}
+		buffers.Put(os[0].buf)
+	}
+}
