fix: agents tell young balancers that an agent left the view

Answers to searches now say that an agent of the service left within 20 s, draining or not. TestUnseenBeforeStart and TestLostSight hold it.

--- a/cmd/agent/datagram/keep.go
+++ b/cmd/agent/datagram/keep.go
@@ -130,8 +130,15 @@
 	s.done <- nil
 }
 
-// adopt takes over routes.
+// adopt takes over membership and routes.
 func (a *Agent) adopt(s control.State) {
+	var as []netip.AddrPort
+	for _, m := range s.View.Members {
+		if m.Role == balsampier.RoleAgent && m.Service == a.o.Service {
+			as = append(as, m.Addr)
+		}
+	}
+	a.holder.AdoptAgents(as, a.o.Clock.Now())
 	if s.Rules.Revision <= a.routes.revision {
 		return
 	}
--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// unseenFor is how long an agent that left the view without its server's
-	// farewell may still have flows: longer than their idle time-out.
+	// unseenFor is how long an agent that left the view may still have flows:
+	// longer than their idle time-out.
 	unseenFor = 20 * time.Second
 	// loadFor is how long a reported load counts.
 	loadFor = 5 * time.Second
@@ -179,8 +179,8 @@
 	return without(addrs(first(k, as)), not)
 }
 
-// all returns the agents that a search asks: all but those that left with
-// their server's farewell.
+// all returns the agents that a search asks: all but those that left while
+// they drained, which have most likely ended.
 func (g *agents) all() []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(g.byAddr))
 	for _, a := range g.byAddr {
@@ -193,11 +193,10 @@
 }
 
 // unseen reports whether an agent that may have flows to the address may live
-// outside of the view. One that left while it drained had its server's
-// farewell.
+// outside of the view.
 func (d *Director) unseen(to netip.AddrPort, t time.Time) bool {
 	for _, a := range d.agents.byAddr {
-		if !a.left.IsZero() && !a.draining && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
+		if !a.left.IsZero() && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
 			return true
 		}
 	}
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -446,3 +446,43 @@
 		w.Assert(sent(w.packet(true), balsampier.RelayOpen), qt.HasLen, 1)
 	}
 }
+
+// TestUnseenBeforeStart denies a flow everywhere at a balancer that started
+// after the flow's agent had left the view: the other agents saw it leave.
+func TestUnseenBeforeStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		reason balsampier.Reason
+		resets int
+	}{
+		{"nobody left", balsampier.ReasonNone, 1},
+		{"an agent left lately", balsampier.ReasonUnsettled, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 2)
+			as, n := w.packet(false), 0
+			for range 10 {
+				var next []direct.Action
+				for _, a := range as {
+					if a.Reset != nil {
+						n++
+					}
+					if !a.To.IsValid() {
+						continue
+					}
+					r := balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}
+					if a.Relay.Kind == balsampier.RelaySearch && a.To == agentAddr(1) {
+						r.Reason = v.reason
+					}
+					w.d.Answer(a.To, r, w.t)
+					next = append(next, w.d.Take()...)
+				}
+				if as = next; len(as) == 0 {
+					as = append(as, w.pass(50*time.Millisecond)...)
+				}
+			}
+			w.Assert(n, qt.Equals, v.resets)
+		})
+	}
+}
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -47,6 +47,8 @@
 		waiting []netip.AddrPort
 		// unsure are those that do not know all flows of their server.
 		unsure []netip.AddrPort
+		// unseen are those that saw an agent of their service leave lately.
+		unseen []netip.AddrPort
 		// found has the agents of each flow that was found: two where only one
 		// of them was acknowledged.
 		found map[uint64][]netip.AddrPort
@@ -102,6 +104,9 @@
 	if r.Kind == balsampier.RelayUnsure {
 		s.unsure = append(s.unsure, from)
 	}
+	if r.Reason == balsampier.ReasonUnsettled {
+		s.unseen = append(s.unseen, from)
+	}
 	for b := r.Payload; len(b) >= keyBytes; b = b[keyBytes:] {
 		k := binary.BigEndian.Uint64(b)
 		s.found[k] = append(s.found[k], from)
@@ -133,9 +138,10 @@
 	}
 }
 
-// missing reports whether an agent that may have the flow did not answer.
+// missing reports whether an agent that may have the flow did not answer, or
+// left the view lately.
 func (d *Director) missing(f *flow, s *search, t time.Time) bool {
-	return slices.ContainsFunc(s.waiting, func(w netip.AddrPort) bool {
+	return slices.ContainsFunc(slices.Concat(s.waiting, s.unseen), func(w netip.AddrPort) bool {
 		a := d.agents.byAddr[w]
 		return a != nil && d.mayHave(a, f.segment.Service, t)
 	})
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/balsampier/balsampier"
@@ -45,6 +46,9 @@
 	// ackWindow is how far an acknowledgement may be ahead of the server's
 	// first number: 64 packets of 1,200 bytes.
 	ackWindow = 76_800
+	// lostFor is how long an agent that left the view may still have flows:
+	// longer than their idle time-out.
+	lostFor = 20 * time.Second
 	// keyBytes is the length of a flow in a search.
 	keyBytes = 8
 )
@@ -81,6 +85,10 @@
 		open, running int
 		due           []deadline
 		sweepAt       time.Time
+		// agents are those of the service in the view; lostAt is when one
+		// left it, zero before the first.
+		agents []netip.AddrPort
+		lostAt time.Time
 		// learnedAt is when the agent knows all flows.
 		learnedAt  time.Time
 		out, taken []Action
@@ -196,7 +204,21 @@
 			have = append(have, b[:keyBytes]...)
 		}
 	}
-	h.answer(from, k, r.Flow, balsampier.ReasonNone, have)
+	v := balsampier.ReasonNone
+	if !h.lostAt.IsZero() && t.Sub(h.lostAt) < lostFor {
+		v = balsampier.ReasonUnsettled
+	}
+	h.answer(from, k, r.Flow, v, have)
+}
+
+// AdoptAgents takes over which agents of the service are in the view.
+func (h *Holder) AdoptAgents(as []netip.AddrPort, t time.Time) {
+	for _, a := range h.agents {
+		if !slices.Contains(as, a) {
+			h.lostAt = t
+		}
+	}
+	h.agents = as
 }
 
 // take decides on an opening packet.
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -317,3 +317,21 @@
 	w.relay(balsampier.RelayDeliver, acked(hostNumber+1), 9)
 	w.Assert(w.h.Load(), qt.Equals, balsampier.Load{Slots: 3})
 }
+
+// TestLostSight tells searches for a while that an agent left the view, whose
+// server may live on.
+func TestLostSight(t *testing.T) {
+	w := newWorld(qt.New(t), true)
+	w.h.Heartbeat(state(0, 1, false))
+	reason := func() balsampier.Reason {
+		w.h.Relay(balancer, balsampier.Relay{Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: 1}}, balsampier.Segment{}, w.t)
+		_, r, _ := said(w.h.Take())
+		return r
+	}
+	w.h.AdoptAgents([]netip.AddrPort{balancer, client}, w.t)
+	w.Assert(reason(), qt.Equals, balsampier.ReasonNone)
+	w.h.AdoptAgents([]netip.AddrPort{client}, w.t)
+	w.Assert(reason(), qt.Equals, balsampier.ReasonUnsettled)
+	w.t = w.t.Add(21 * time.Second)
+	w.Assert(reason(), qt.Equals, balsampier.ReasonNone)
+}
--- a/relay.go
+++ b/relay.go
@@ -12,7 +12,8 @@
 	RelayAsk
 	// RelaySearch asks an agent which of many flows it has. Its answer is
 	// RelayNotMine, or RelayUnsure where the agent does not know all flows of
-	// its server, with those that it has.
+	// its server, with those that it has. Its reason is ReasonUnsettled where
+	// an agent left the view lately whose server may live on.
 	RelaySearch
 	// RelayTook says that the opening packet went to the server.
 	RelayTook
@@ -43,7 +44,7 @@
 		Service ServiceHash
 		// Revision is that of the sender's routes.
 		Revision Revision
-		// Reason is set in RelayRefused only.
+		// Reason is set in RelayRefused and in answers to searches.
 		Reason Reason
 		// Load is that of an answering agent.
 		Load Load
