fix: late denials of a first question do not end a search; read routes off the packet thread

TestLateDenials and TestFleet with late packets fail before. Ruled out: views without members, answers to searches of an earlier run, a restart of the agent. Reading 240 routes took 60 ms on the thread that directs packets (0.19 cores); the session does it now.

--- a/cmd/agent/datagram/keep.go
+++ b/cmd/agent/datagram/keep.go
@@ -139,12 +139,8 @@
 		}
 	}
 	a.holder.AdoptAgents(as, a.o.Clock.Now())
-	if s.Rules.Revision <= a.routes.revision {
-		return
-	}
-	f, err := a.o.Parser.Parse(s.Rules.Text)
-	if err != nil {
-		a.log.Error().Err(err).Uint64("revision", uint64(s.Rules.Revision)).Msg("routes not adopted")
+	f := s.Routes
+	if f.Version <= a.routes.revision {
 		return
 	}
 	to := make(map[netip.AddrPort]struct{})
--- a/cmd/balancer/datagram/balancer.go
+++ b/cmd/balancer/datagram/balancer.go
@@ -83,8 +83,6 @@
 		outputs *ring.Ring[output]
 		// director belongs to the thread that directs.
 		director *direct.Director
-		// parsed is the revision of the routes that the director has.
-		parsed   balsampier.Revision
 		flows    atomic.Int64
 		counters counters
 	}
@@ -164,7 +162,7 @@
 		return nil, err
 	}
 	b.session, err = control.NewDocumentSession(control.Options{
-		Clock: o.Clock, Random: o.Random, Logger: b.log, Member: b.Member, Changed: b.changed,
+		Clock: o.Clock, Random: o.Random, Logger: b.log, Member: b.Member, Parser: o.Parser, Changed: b.changed,
 	}, peer.NewKey(o.Key), b.seeds)
 	if err != nil {
 		return nil, err
--- a/cmd/balancer/datagram/balancer_test.go
+++ b/cmd/balancer/datagram/balancer_test.go
@@ -30,15 +30,6 @@
 	}
 )
 
-// oneRoute reads every document as one route.
-type oneRoute struct{}
-
-func (oneRoute) Parse(string) (balsampier.RouteFile, error) {
-	return balsampier.RouteFile{Version: 3, Routes: []balsampier.Route{{
-		Name: "a", To: netip.MustParseAddrPort("198.18.0.1:443"), Targets: []balsampier.Target{{Service: "x", Weight: 1}},
-	}}}, nil
-}
-
 // fixed is a source of random numbers without surprises.
 type fixed struct{}
 
@@ -50,7 +41,7 @@
 		Common:   settings.Common{Name: "balancer-1", DataCentre: "lima-1", LogLevel: "error"},
 		PeerAddr: loopback, Key: []byte(testKey), Random: fixed{},
 		Clock: clock.NewFake(time.Date(2027, time.February, 20, 12, 0, 0, 0, time.UTC)),
-		Codec: platform.Codec{}, Parser: oneRoute{},
+		Codec: platform.Codec{}, Parser: platform.Parser{},
 	}
 	b, err := New(o)
 	c.Assert(err, qt.IsNil)
@@ -59,7 +50,9 @@
 		_ = b.agents.Close()
 	})
 	b.adopt(control.State{
-		Rules: balsampier.RuleFile{Revision: 3},
+		Routes: balsampier.RouteFile{Version: 3, Routes: []balsampier.Route{{
+			Name: "a", To: netip.MustParseAddrPort("198.18.0.1:443"), Targets: []balsampier.Target{{Service: "x", Weight: 1}},
+		}}},
 		View: balsampier.View{Epoch: 1, Members: []balsampier.Member{{
 			ID: 1, Name: "agent-1", Role: balsampier.RoleAgent, Addr: agentAddr, Service: "x", Slots: 3, DataCentre: "lima-1",
 		}}},
--- a/cmd/balancer/datagram/direct.go
+++ b/cmd/balancer/datagram/direct.go
@@ -86,15 +86,7 @@
 
 // adopt takes over routes and membership.
 func (b *Balancer) adopt(s control.State) {
-	if s.Rules.Revision > b.parsed {
-		f, err := b.o.Parser.Parse(s.Rules.Text)
-		if err != nil {
-			b.log.Error().Err(err).Uint64("revision", uint64(s.Rules.Revision)).Msg("routes not adopted")
-		} else {
-			b.director.Adopt(f)
-			b.parsed = s.Rules.Revision
-		}
-	}
+	b.director.Adopt(s.Routes)
 	b.director.AdoptView(s.View, b.o.Clock.Now())
 }
 
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -162,6 +162,19 @@
 	}
 }
 
+// TestLateDenials answers the first question after its time: only the search
+// tells whether nobody has the flow.
+func TestLateDenials(t *testing.T) {
+	w := newWorld(qt.New(t), 3)
+	as := sent(w.packet(false), balsampier.RelayAsk)
+	w.Assert(as, qt.HasLen, 3)
+	w.pass(45 * time.Millisecond)
+	for _, a := range as {
+		w.Assert(resets(w.answer(a, balsampier.RelayNotMine, balsampier.ReasonNone)), qt.Equals, 0)
+	}
+	w.Assert(sent(w.pass(15*time.Millisecond), balsampier.RelaySearch), qt.Not(qt.HasLen), 0)
+}
+
 // TestNoRoute resets openings only: another packet may belong to a flow whose
 // route is gone.
 func TestNoRoute(t *testing.T) {
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -59,6 +59,8 @@
 func (d *Director) seek(f *flow, t time.Time) {
 	q := &d.searches
 	f.attempt++
+	// Late answers to the first question do not end the search.
+	f.waiting = f.waiting[:0]
 	if len(q.next) == 0 {
 		q.at = t.Add(searchDelay)
 		if e := q.began.Add(searchInterval); e.After(q.at) {
--- a/command/hold/fleet_test.go
+++ b/command/hold/fleet_test.go
@@ -193,7 +193,11 @@
 	if f.lossy && rapid.IntRange(0, 29).Draw(f.T, what+" lost") == 0 {
 		return
 	}
-	f.after(time.Duration(1+f.seq%3)*time.Millisecond, do)
+	d := time.Duration(1+f.seq%3) * time.Millisecond
+	if rapid.IntRange(0, 19).Draw(f.T, what+" late") == 0 {
+		d += time.Duration(rapid.IntRange(20, 120).Draw(f.T, "delay")) * time.Millisecond
+	}
+	f.after(d, do)
 }
 
 func (f *fleet) encode(s balsampier.Segment) []byte {
@@ -401,7 +405,7 @@
 	for _, a := range append([]hold.Action(nil), g.h.Take()...) {
 		switch {
 		case a.ToServer != nil:
-			f.toServer(i, f.decode(a.ToServer), append([]byte(nil), a.ToServer...))
+			f.toServer(i, f.decode(a.ToServer))
 		case a.ToClient != nil:
 			s := f.decode(a.ToClient)
 			f.send("answer", func() { f.toClient(s) })
@@ -428,7 +432,7 @@
 }
 
 // toServer is a packet on the machine of the agent, which loses none.
-func (f *fleet) toServer(i int, s balsampier.Segment, b []byte) {
+func (f *fleet) toServer(i int, s balsampier.Segment) {
 	v := &f.agents[i].server
 	if !v.up {
 		return
--- a/control/session.go
+++ b/control/session.go
@@ -30,6 +30,9 @@
 		Rules balsampier.RuleFile
 		// Table is compiled from Rules; never nil.
 		Table *inforce.Table
+		// Routes are read from Rules where these are a document; their version
+		// never falls.
+		Routes balsampier.RouteFile
 		// View is the newest view; its epoch never falls.
 		View balsampier.View
 	}
@@ -44,8 +47,10 @@
 		// from then on, and is nil exactly when Seeds is.
 		Seeds func() []netip.AddrPort
 		Use   func([]netip.AddrPort)
-		// Documents leaves the text of the rules to Changed.
+		// Documents is true where the rules are a document, which Parser reads
+		// for members that need its routes.
 		Documents bool
+		Parser    balsampier.DocumentParser
 		Clock     balsampier.Clock
 		Random    balsampier.Random
 		Logger    *log.Logger
--- a/control/watch.go
+++ b/control/watch.go
@@ -112,13 +112,11 @@
 
 func (s *Session) publish(n State) error {
 	old := s.State()
-	n.Table = old.Table
-	if n.Rules.Revision != old.Rules.Revision && !s.o.Documents {
-		t, err := compile(n.Rules)
-		if err != nil {
+	n.Table, n.Routes = old.Table, old.Routes
+	if n.Rules.Revision != old.Rules.Revision {
+		if err := s.read(&n); err != nil {
 			return err
 		}
-		n.Table = t
 	}
 	s.state.Store(&n)
 	s.locate()
@@ -131,3 +129,24 @@
 	s.Nudge()
 	return nil
 }
+
+// read fills in what follows from the text of newer rules. A document that
+// cannot be read leaves the routes as they are.
+func (s *Session) read(n *State) error {
+	switch {
+	case !s.o.Documents:
+		t, err := compile(n.Rules)
+		if err != nil {
+			return err
+		}
+		n.Table = t
+	case s.o.Parser != nil:
+		r, err := s.o.Parser.Parse(n.Rules.Text)
+		if err != nil {
+			s.o.Logger.Error().Err(err).Uint64("revision", uint64(n.Rules.Revision)).Msg("routes not adopted")
+			return nil
+		}
+		n.Routes = r
+	}
+	return nil
+}
