fix: only the server's word denies a try; members and replicas connect sooner after a loss of power

Cause: TestFleet with late packets: an agent's late answer to a question was taken for the return of the packet that was then tried there, and the open flow was reset (failed before; TestLateAnswerToQuestion). Connections to machines still without power took 1 s each, and a quorum that could not be asked yet was asked again after 0.5 s.

--- a/cmd/control/app/watch.go
+++ b/cmd/control/app/watch.go
@@ -14,6 +14,11 @@
 	// confirmPeriod is how often a quorum is asked whether the state is the
 	// newest.
 	confirmPeriod = 500 * time.Millisecond
+	// confirmRetry is how soon it is asked again after a failure, such as
+	// while a leader is elected; members that start wait for it.
+	confirmRetry = 50 * time.Millisecond
+	// confirmWait bounds one try: several round trips between regions.
+	confirmWait = 500 * time.Millisecond
 	// confirmValid is how long a confirmation is passed on.
 	confirmValid = 2 * time.Second
 )
@@ -57,13 +62,14 @@
 // keepConfirmed asks a quorum again and again whether the state is the newest.
 func (t *Control) keepConfirmed(c context.Context) error {
 	for c.Err() == nil {
-		asked := t.clock.Now()
-		x, cancel := context.WithTimeout(c, confirmTimeout)
+		asked, d := t.clock.Now(), confirmRetry
+		x, cancel := context.WithTimeout(c, confirmWait)
 		if _, err := t.confirmed(x); err == nil {
 			t.confirm.publish(asked)
+			d = confirmPeriod
 		}
 		cancel()
-		k := t.clock.NewTimer(confirmPeriod)
+		k := t.clock.NewTimer(d)
 		select {
 		case <-k.C():
 		case <-t.unconfirmed:
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -54,10 +54,9 @@
 			d.answered(f, t)
 		}
 	case trying:
-		if f.agent == from {
-			if len(r.Payload) > 0 {
-				f.deny(from)
-			}
+		// A late answer to a question returns no packet.
+		if f.agent == from && len(r.Payload) > 0 {
+			f.deny(from)
 			d.try(f, t)
 		}
 	}
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -89,7 +89,7 @@
 		due           []deadline
 		sweepAt       time.Time
 		// agents are those of the service in the view; lostAt is when one
-		// last left it or may have: zero while none has.
+		// left it, zero before the first.
 		agents []netip.AddrPort
 		lostAt time.Time
 		// learnedAt is when the agent knows all flows.
@@ -148,12 +148,7 @@
 
 // New returns the holder of an agent that starts at time t.
 func New(g Config, t time.Time) *Holder {
-	h := &Holder{g: g, flows: make(map[balsampier.FlowKey]*flow), byHash: make(map[uint64]*flow), learnedAt: t.Add(learnFor)}
-	if !g.Fresh {
-		// Whether an agent left shortly before is not known.
-		h.lostAt = t
-	}
-	return h
+	return &Holder{g: g, flows: make(map[balsampier.FlowKey]*flow), byHash: make(map[uint64]*flow), learnedAt: t.Add(learnFor)}
 }
 
 // Take returns what is to be done, in order. The slice is valid until the next
@@ -292,7 +287,7 @@
 // try delivers a packet of a flow that nobody is known to have.
 func (h *Holder) try(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
 	if h.standing(f, s, t) == balsampier.RelayNotMine {
-		h.answer(from, balsampier.RelayNotMine, r.Flow, balsampier.ReasonNone, nil)
+		h.answer(from, balsampier.RelayNotMine, r.Flow, balsampier.ReasonNone, r.Payload)
 		return
 	}
 	h.hand(from, r, s, f, t)
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,29 +2,26 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/peer/peerpb"
 )
 
-const (
-	dialTimeout = time.Second
-	callTimeout = 3 * time.Second
-)
+const callTimeout = 3 * time.Second
 
 type (
 	// ControlClient speaks to control instances over drpc, to one at a time.
 	// After a failed call it moves on to the next.
 	ControlClient struct {
 		key Key
+		// dialer connects to all instances.
+		dialer dialer
 
 		mu sync.Mutex
 		// addrs is never empty; next indexes it.
@@ -97,7 +94,7 @@
 	l.mu.Lock()
 	a := l.addrs[w.Control%len(l.addrs)]
 	l.mu.Unlock()
-	conn, err := l.dial(c, a)
+	conn, err := l.dialer.dial(c, a)
 	if err != nil {
 		return err
 	}
@@ -138,7 +135,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	conn, err := l.dial(c, a)
+	conn, err := l.dialer.dial(c, a)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -159,12 +156,3 @@
 	}
 	l.next = (l.next + 1) % len(l.addrs)
 }
-
-func (l *ControlClient) dial(c context.Context, a netip.AddrPort) (drpc.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	n, err := d.DialContext(c, "tcp", a.String())
-	if err != nil {
-		return nil, decodeError("dial "+a.String(), err)
-	}
-	return drpcconn.New(n), nil
-}
--- a/peer/control.go
+++ b/peer/control.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/lease"
@@ -34,8 +32,9 @@
 	// Caller calls one instance over connections that it keeps: one for each
 	// call that is under way.
 	Caller struct {
-		key  Key
-		addr netip.AddrPort
+		key    Key
+		addr   netip.AddrPort
+		dialer dialer
 
 		mu sync.Mutex
 		// idle holds at most maxIdleConns connections without a call.
@@ -146,12 +145,7 @@
 	if n := l.open(); n != nil {
 		return n, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	n, err := d.DialContext(c, "tcp", l.addr.String())
-	if err != nil {
-		return nil, decodeError("dial "+l.addr.String(), err)
-	}
-	return drpcconn.New(n), nil
+	return l.dialer.dial(c, l.addr)
 }
 
 // open returns an idle connection that the other end did not close, or nil.
