feat: agents look whether their server listens, reset the flows of one that does not, and tell balancers of its end

Agents whose server never came back did not know whether it had flows for 60 s: flows were tried there for 100 ms each and then believed to be there. Balancers waited in each search for agents that had drained and left. Change: while it is in doubt whether a server listens, the agent connects to it every 200 ms; a refused connection is certain. Then its clients are reset at once, also idle ones, openings are refused and searches answered. An agent that stops behind its server says so to the balancers that it heard of. TestAbsent, TestEndedServer and TestFleet with absent servers; the last failed on a flow that was only tried at the agent, which is not reset now.

--- a/cmd/agent/datagram/agent.go
+++ b/cmd/agent/datagram/agent.go
@@ -35,6 +35,13 @@
 	idleWait = 2 * time.Second
 	// stopTimeout bounds the farewell to control.
 	stopTimeout = time.Second
+	// lookInterval spaces looks at a server whose presence is in doubt, and
+	// lookTimeout bounds one: the server is on the same machine.
+	lookInterval = 200 * time.Millisecond
+	lookTimeout  = 150 * time.Millisecond
+	// maxHeardOf bounds the balancers that are told of the end: more than a
+	// fleet of 1,200 has.
+	maxHeardOf = 2048
 	// heartbeatTimeout bounds the wait for the thread that keeps flows.
 	heartbeatTimeout = 800 * time.Millisecond
 )
@@ -90,9 +97,16 @@
 		inputs    *ring.Ring[input]
 		outputs   *ring.Ring[output]
 		// holder and routes belong to the thread that keeps flows.
-		holder   *hold.Holder
-		routes   allowed
-		load     atomic.Pointer[balsampier.Load]
+		holder *hold.Holder
+		routes allowed
+		load   atomic.Pointer[balsampier.Load]
+		// doubtful is true while it is in doubt whether a server listens;
+		// doubts wakes the thread that looks.
+		doubtful atomic.Bool
+		doubts   chan struct{}
+		// heardOf are the balancers that sent relays; it belongs to the thread
+		// that keeps flows.
+		heardOf  map[netip.AddrPort]struct{}
 		counters counters
 	}
 
@@ -103,6 +117,9 @@
 		relay, packet fabric.Datagram
 		statement     *statement
 		state         *control.State
+		// absent is true when nothing listens at the address of the server,
+		// ended when the agent stops after it.
+		absent, ended bool
 	}
 
 	// statement is what the server said by HTTP.
@@ -176,7 +193,7 @@
 			Incarnation: balsampier.NewIncarnation(o.Clock.Now()), DataCentre: o.DataCentre,
 			Addr: o.PeerAddr, PeerAddr: o.PeerAddr, Service: o.Service,
 		},
-		counters: newCounters(),
+		counters: newCounters(), doubts: make(chan struct{}, 1), heardOf: make(map[netip.AddrPort]struct{}),
 	}
 	now := o.Clock.Now()
 	a.holder = hold.New(hold.Config{
@@ -226,6 +243,7 @@
 			return a.outbound.Receive(c, func(d fabric.Datagram) error { return a.inputs.Push(c, input{packet: d}) })
 		}),
 		duty.New("keep flows", a.keep),
+		duty.New("look at server", a.look),
 		duty.New("send", a.send),
 	}, a.session.Threads()...)
 }
@@ -254,8 +272,14 @@
 func (a *Agent) Drain(c context.Context) error {
 	a.stopping.Store(true)
 	s := a.server.Load()
-	a.log.Info().Bool("server", s != nil).Msg("stopping")
-	if s == nil || s.Draining {
+	ended := s == nil || a.refused(c)
+	a.log.Info().Bool("serverEnded", ended).Msg("stopping")
+	if ended {
+		if err := a.inputs.PushWith(c, input{ended: true}, ring.Block); err != nil {
+			a.log.Warn().Err(err).Msg("balancers not told of the end")
+		}
+	}
+	if ended || s.Draining {
 		a.session.Leave(c)
 	}
 	return nil
--- a/cmd/agent/datagram/keep.go
+++ b/cmd/agent/datagram/keep.go
@@ -25,8 +25,12 @@
 // keep owns the holder.
 func (a *Agent) keep(c context.Context) error {
 	var is [batchSize]input
+	a.doubt()
 	for {
 		w := idleWait
+		if a.holder.Load().Running > 0 {
+			w = lookInterval
+		}
 		if at, ok := a.holder.Next(); ok {
 			w = min(w, max(at.Sub(a.o.Clock.Now()), 0))
 		}
@@ -47,6 +51,7 @@
 		a.handOn(c)
 		l := a.holder.Load()
 		a.load.Store(&l)
+		a.doubt()
 	}
 }
 
@@ -54,6 +59,10 @@
 	switch {
 	case i.state != nil:
 		a.adopt(*i.state)
+	case i.absent:
+		a.takeAbsence()
+	case i.ended:
+		a.tellBalancers(context.Background())
 	case i.statement != nil:
 		a.takeStatement(i.statement)
 	case i.relay.Payload != nil:
@@ -69,6 +78,7 @@
 		a.refuse("relay", d, err)
 		return
 	}
+	a.hear(d.Caller)
 	if r.Kind == balsampier.RelaySearch {
 		a.counters.relays.Inc()
 		a.holder.Relay(d.Caller, r, balsampier.Segment{}, d.At)
--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -38,8 +38,13 @@
 		slots   int
 		// draining agents take no new flows.
 		draining bool
+		// incarnation is the run of the agent.
+		incarnation balsampier.Incarnation
 		// left is when the agent left the view; zero while it is in it.
 		left time.Time
+		// ended is true once this run of the agent said that its server has
+		// ended.
+		ended bool
 		// joined is when the agent came into the view.
 		joined time.Time
 		// load is the newest that the agent reported, at loadAt; recent counts
@@ -75,6 +80,9 @@
 			a.zone, a.slots, a.draining, a.left = m.DataCentre, max(m.Slots, 1), m.Draining, time.Time{}
 		}
 		seen[m.Addr] = true
+		if m.Incarnation > a.incarnation {
+			a.incarnation, a.ended = m.Incarnation, false
+		}
 	}
 	for k, a := range g.byAddr {
 		if !seen[k] && a.left.IsZero() {
@@ -113,7 +121,7 @@
 	var fit, doubtful []*agent
 	for _, a := range g.service[f.service] {
 		switch {
-		case a.draining || !a.left.IsZero() || slices.Contains(f.tried, a.addr):
+		case a.draining || a.ended || !a.left.IsZero() || slices.Contains(f.tried, a.addr):
 		case t.Before(a.suspectUntil):
 			doubtful = append(doubtful, a)
 		default:
@@ -171,7 +179,7 @@
 	var as []*agent
 	for _, s := range ss {
 		for _, a := range g.service[s] {
-			if a.left.IsZero() {
+			if a.left.IsZero() && !a.ended {
 				as = append(as, a)
 			}
 		}
@@ -183,8 +191,10 @@
 // among them: an agent that is cut off from control has its flows yet.
 func (g *agents) all() []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(g.byAddr))
-	for k := range g.byAddr {
-		out = append(out, k)
+	for k, a := range g.byAddr {
+		if !a.ended {
+			out = append(out, k)
+		}
 	}
 	slices.SortFunc(out, netip.AddrPort.Compare)
 	return out
@@ -194,7 +204,7 @@
 // outside of the view.
 func (d *Director) unseen(to netip.AddrPort, t time.Time) bool {
 	for _, a := range d.agents.byAddr {
-		if !a.left.IsZero() && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
+		if !a.left.IsZero() && !a.ended && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
 			return true
 		}
 	}
@@ -207,6 +217,20 @@
 	return t.Sub(d.started) < departedFor || slices.Contains(d.routes.services(to), a.service)
 }
 
+// end takes in that the server beside an agent has ended, and gives up what is
+// asked of the agent.
+func (d *Director) end(from netip.AddrPort, i balsampier.Incarnation, t time.Time) {
+	a := d.agents.byAddr[from]
+	if a == nil || a.incarnation != i || a.ended {
+		return
+	}
+	a.ended = true
+	d.out = append(d.out, Action{Note: Note{Event: "server ended", Agent: from, Service: a.service, Revision: d.routes.revision}})
+	for _, s := range slices.Clone(d.searches.under) {
+		d.searched(from, balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: balsampier.FlowKey{Lo: s.number}}, t)
+	}
+}
+
 // heard takes in the load of an agent that answered.
 func (g *agents) heard(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	a := g.byAddr[from]
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -365,6 +365,10 @@
 // Answer takes in what an agent says.
 func (d *Director) Answer(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	d.agents.heard(from, r, t)
+	if r.Kind == balsampier.RelayEnded {
+		d.end(from, balsampier.Incarnation(r.Flow.Lo), t)
+		return
+	}
 	if r.Flow.Hi == 0 {
 		d.searched(from, r, t)
 		return
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -196,6 +196,36 @@
 	w.Assert(resets(w.returned(agentAddr(1))), qt.Equals, 1)
 }
 
+// TestEndedServer hears that a server has ended. Its agent is asked nothing any
+// more, neither by a new search nor by one under way, until it runs again.
+func TestEndedServer(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	end := func(i balsampier.Incarnation) []direct.Action {
+		w.d.Answer(agentAddr(1), balsampier.Relay{Kind: balsampier.RelayEnded, Flow: balsampier.FlowKey{Lo: uint64(i)}}, w.t)
+		return w.d.Take()
+	}
+	w.packet(false)
+	for _, i := range []int{1, 2} {
+		w.answer(agentAddr(i), balsampier.RelayNotMine, balsampier.ReasonNone)
+	}
+	as := sent(w.pass(15*time.Millisecond), balsampier.RelaySearch)
+	w.Assert(as, qt.HasLen, 3)
+	for _, i := range []int{2, 99} {
+		w.d.Answer(agentAddr(i), balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: balsampier.FlowKey{Lo: 1}}, w.t)
+	}
+	w.Assert(resets(w.d.Take()), qt.Equals, 0)
+	w.Assert(resets(end(7)), qt.Equals, 0, qt.Commentf("the end of another run"))
+	w.Assert(resets(end(0)), qt.Equals, 1)
+	as = sent(w.packet(true), balsampier.RelayOpen)
+	w.Assert(as, qt.HasLen, 1)
+	w.Assert(as[0], qt.Equals, agentAddr(2))
+	w.view(2, 2)
+	w.d.Packet(balsampier.Segment{Client: client, Service: to, Key: balsampier.FlowKey{Hi: 5, Lo: 5}}, []byte("packet"), w.t)
+	as = sent(w.d.Take(), balsampier.RelayAsk)
+	w.Assert(as, qt.HasLen, 1)
+	w.Assert(as[0], qt.Equals, agentAddr(2))
+}
+
 // TestNoRoute resets openings only: another packet may belong to a flow whose
 // route is gone.
 func TestNoRoute(t *testing.T) {
--- a/command/hold/fleet_test.go
+++ b/command/hold/fleet_test.go
@@ -306,6 +306,14 @@
 		return
 	}
 	s.up = false
+	run := s.run
+	if rapid.Bool().Draw(f.T, "seen") {
+		f.after(time.Duration(rapid.IntRange(100, 400).Draw(f.T, "look"))*time.Millisecond, func() {
+			if g := f.agents[i]; g.h != nil && !g.server.up && g.server.run == run && g.h.Absent(f.now) {
+				f.agentActs(i)
+			}
+		})
+	}
 	f.after(time.Duration(rapid.IntRange(50, 4000).Draw(f.T, "down"))*time.Millisecond, func() {
 		f.startServer(i, time.Duration(rapid.IntRange(0, 500).Draw(f.T, "first heartbeat"))*time.Millisecond)
 	})
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -98,8 +98,10 @@
 	}
 
 	flow struct {
-		segment balsampier.Segment
-		state   state
+		// segment is the newest packet, of the client where fromClient is true.
+		segment    balsampier.Segment
+		fromClient bool
+		state      state
 		// sequence is the server's first number, where answered is true.
 		sequence uint32
 		answered bool
@@ -109,7 +111,8 @@
 		used time.Time
 		// running is true from a request until its answer begins.
 		running bool
-		// proved is true once the server sent a packet of the open flow.
+		// proved is true once the flow is surely open at the server: the client
+		// acknowledged its answer, or it sent a packet of the open flow.
 		proved bool
 	}
 
@@ -242,7 +245,7 @@
 		h.keep(r.Flow, f)
 	}
 	h.settle(f)
-	f.segment, f.via, f.used, f.state, f.answered, f.proved = s, from, t, half, false, false
+	f.segment, f.fromClient, f.via, f.used, f.state, f.answered, f.proved = s, true, from, t, half, false, false
 	h.server.asked(t)
 	h.due = append(h.due, deadline{at: t.Add(answerTimeout), key: r.Flow})
 	h.toServer(r.Payload)
@@ -300,10 +303,14 @@
 		f = &flow{}
 		h.keep(r.Flow, f)
 	}
-	f.segment, f.via, f.used = s, from, t
+	f.segment, f.fromClient, f.via, f.used = s, true, from, t
 	if f.state == half {
+		f.proved = f.answered
 		h.begin(f)
 	}
+	if s.Length > 0 {
+		h.server.gave(t)
+	}
 	if s.Length > 0 && !f.running && f.state == open {
 		f.running = true
 		h.running++
@@ -350,7 +357,7 @@
 		h.returned(f, s, b)
 		return
 	}
-	h.server.answered()
+	h.server.answered(t)
 	if f == nil {
 		if len(h.flows) < maxFlows {
 			f = &flow{segment: s}
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -333,6 +333,41 @@
 	}
 }
 
+// TestAbsent finds that no server listens: the clients of open flows are told,
+// and nothing is taken until a server says that it is there.
+func TestAbsent(t *testing.T) {
+	w := newWorld(qt.New(t), false)
+	w.Assert(w.h.Doubtful(w.t), qt.IsTrue)
+	w.h.Heartbeat(state(-time.Hour, 9, false))
+	w.Assert(w.h.Doubtful(w.t), qt.IsFalse)
+	w.opens()
+	q := acked(hostNumber + 1)
+	q.Length = 900
+	w.relay(balsampier.RelayDeliver, q, 9)
+	w.t = w.t.Add(time.Second)
+	w.relay(balsampier.RelayDeliver, q, 9)
+	w.Assert(w.h.Doubtful(w.t), qt.IsFalse)
+	w.t = w.t.Add(200 * time.Millisecond)
+	w.Assert(w.h.Doubtful(w.t), qt.IsTrue)
+
+	w.Assert(w.h.Absent(w.t), qt.IsTrue)
+	as := w.h.Take()
+	w.Assert(as, qt.HasLen, 2)
+	w.Assert(as[0].Reset.Acknowledged, qt.Equals, q.Acknowledged)
+	w.Assert(w.h.Absent(w.t), qt.IsFalse)
+	w.Assert(w.h.Doubtful(w.t), qt.IsFalse)
+	w.Assert(w.h.Load(), qt.Equals, balsampier.Load{Slots: 3})
+	k, _, _ := said(w.relay(balsampier.RelayAsk, q, 9))
+	w.Assert(k, qt.Equals, balsampier.RelayNotMine)
+	k, r, _ := said(w.relay(balsampier.RelayOpen, segment(true), 9))
+	w.Assert(k, qt.Equals, balsampier.RelayRefused)
+	w.Assert(r, qt.Equals, balsampier.ReasonNoBackendServer)
+
+	w.Assert(w.h.Heartbeat(state(-time.Hour, 10, false)), qt.IsTrue)
+	k, _, _ = said(w.relay(balsampier.RelayOpen, segment(true), 9))
+	w.Assert(k, qt.Equals, balsampier.RelayTook)
+}
+
 // TestLoad counts flows and requests under way, and none twice.
 func TestLoad(t *testing.T) {
 	w := newWorld(qt.New(t), true)
--- a/command/hold/server.go
+++ b/command/hold/server.go
@@ -6,6 +6,10 @@
 	"github.com/balsampier/balsampier"
 )
 
+// quietFor is how long a server with requests may send nothing until it is
+// looked at; servers acknowledge packets in between.
+const quietFor = 150 * time.Millisecond
+
 // silentAfter is how many openings in turn a server leaves unanswered until it
 // counts as silent.
 const silentAfter = 2
@@ -18,6 +22,9 @@
 	state balsampier.ServerState
 	// witnessed is true where the agent surely saw all packets of the run.
 	witnessed bool
+	// spoke is when the server sent a packet last. given is since when it was
+	// given requests without a packet from it.
+	spoke, given time.Time
 	// unanswered counts openings in turn without an answer.
 	unanswered int
 	// silent servers are offered one opening at probeAt.
@@ -57,6 +64,39 @@
 	return true
 }
 
+// Absent takes in that no server listens beside the agent: whatever ran there
+// has ended with all its flows. Clients whose flows were open are told at once,
+// so that they ask elsewhere. It reports whether that is news.
+func (h *Holder) Absent(t time.Time) bool {
+	v := &h.server
+	if v.heard && !v.here {
+		return false
+	}
+	v.heard, v.here = true, false
+	for k, f := range h.flows {
+		if f.fromClient && f.proved && (f.state == open || f.state == former) && !h.expired(f, t) {
+			s := f.segment
+			h.out = append(h.out, Action{Reset: &s})
+			h.note("reset", s, f.via, balsampier.ReasonHolderGone, 0)
+		}
+		h.forget(k, f)
+	}
+	return true
+}
+
+// Doubtful reports whether it is worth a look whether a server listens: none
+// has said anything yet, or the one that did leaves its requests unanswered.
+func (h *Holder) Doubtful(t time.Time) bool {
+	v := &h.server
+	switch {
+	case !v.heard:
+		return true
+	case !v.here:
+		return false
+	}
+	return v.silent || h.running > 0 && t.Sub(v.spoke) > quietFor && t.Sub(v.given) > quietFor
+}
+
 // Server returns the newest that the server said; ok is false while there is
 // none.
 func (h *Holder) Server() (s balsampier.ServerState, ok bool) { return h.server.state, h.server.here }
@@ -76,5 +116,12 @@
 	}
 }
 
-// answered notes that the server sent a packet.
-func (v *server) answered() { v.silent, v.unanswered = false, 0 }
+// answered notes that the server sent a packet at time t.
+func (v *server) answered(t time.Time) { v.silent, v.unanswered, v.spoke = false, 0, t }
+
+// gave notes that the server was given a request at time t.
+func (v *server) gave(t time.Time) {
+	if !v.given.After(v.spoke) {
+		v.given = t
+	}
+}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -49,7 +49,7 @@
 		},
 		Payload: m.GetPayload(),
 	}
-	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayUnsure) || m.GetReason() > uint32(balsampier.ReasonRevision) || r.Flow.IsZero() {
+	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayEnded) || m.GetReason() > uint32(balsampier.ReasonRevision) || r.Flow.IsZero() {
 		return balsampier.Relay{}, errEnvelope("the relay names no flow or an unknown kind")
 	}
 	return r, nil
--- a/relay.go
+++ b/relay.go
@@ -26,6 +26,9 @@
 	RelayNotMine
 	// RelayUnsure says that the agent does not know.
 	RelayUnsure
+	// RelayEnded says that the agent stops and that its server has ended, with
+	// all flows. Its flow has the agent's incarnation in Lo.
+	RelayEnded
 )
 
 type (
@@ -37,8 +40,8 @@
 	Relay struct {
 		// Kind is never zero.
 		Kind RelayKind
-		// Flow is never zero. Searches and their answers have their number in
-		// Lo and zero in Hi.
+		// Flow is never zero. Searches, their answers and farewells have a
+		// number in Lo and zero in Hi.
 		Flow FlowKey
 		// Service is the hash of the service meant, in RelayOpen only.
 		Service ServiceHash
@@ -60,5 +63,5 @@
 
 // String returns the name of the kind as it stands in logs and metrics.
 func (k RelayKind) String() string {
-	return [...]string{"none", "open", "deliver", "try", "ask", "search", "took", "refused", "mine", "notMine", "unsure"}[k]
+	return [...]string{"none", "open", "deliver", "try", "ask", "search", "took", "refused", "mine", "notMine", "unsure", "ended"}[k]
 }
