fix: agents that left the view and stay silent do not keep flows from being reset

Ruled out: agents that do not know whether they have flows (none tried any more). Change: an agent that left the view and did not answer three searches in turn is not waited for: control and this balancer are both out of touch with it. Agents say how long ago one left; a balancer that was there then knows for itself. Tests: TestGoneAgent, TestUnseenBeforeStart (rows with times), TestLostSight; the first failed before.

--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -42,6 +42,8 @@
 		incarnation balsampier.Incarnation
 		// left is when the agent left the view; zero while it is in it.
 		left time.Time
+		// misses counts the searches in turn that the agent did not answer.
+		misses int
 		// ended is true once this run of the agent said that its server has
 		// ended.
 		ended bool
@@ -200,11 +202,29 @@
 	return out
 }
 
+// awaited returns the agents whose answers a search waits for: all but those
+// that left the view and have been silent since. Control and this balancer are
+// both out of touch with those.
+func (g *agents) awaited() []netip.AddrPort {
+	return slices.DeleteFunc(g.all(), func(a netip.AddrPort) bool { return g.byAddr[a].gone() })
+}
+
+// missed takes in which agents did not answer a search.
+func (g *agents) missed(as []netip.AddrPort) {
+	for _, k := range as {
+		if a := g.byAddr[k]; a != nil {
+			a.misses++
+		}
+	}
+}
+
+func (a *agent) gone() bool { return a.ended || !a.left.IsZero() && a.misses >= goneAfter }
+
 // unseen reports whether an agent that may have flows to the address may live
 // outside of the view.
 func (d *Director) unseen(to netip.AddrPort, t time.Time) bool {
 	for _, a := range d.agents.byAddr {
-		if !a.left.IsZero() && !a.ended && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
+		if !a.left.IsZero() && !a.gone() && t.Sub(a.left) < unseenFor && d.mayHave(a, to, t) {
 			return true
 		}
 	}
@@ -237,6 +257,7 @@
 	if a == nil {
 		return
 	}
+	a.misses = 0
 	if r.Load.Slots > 0 {
 		a.load, a.loadAt, a.recent = r.Load, t, 0
 	}
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -542,20 +542,70 @@
 	}
 }
 
+// TestGoneAgent has an agent leave the view whose server may live on. Its flows
+// are reset once it has answered no search for a while.
+func TestGoneAgent(t *testing.T) {
+	tests := []struct {
+		name string
+		// leaves tells that the agent left the view, answers that it answers
+		// the searches.
+		leaves, answers bool
+		resets          int
+	}{
+		{"silent in the view", false, false, 0},
+		{"silent out of the view", true, false, 1},
+		{"alive out of the view, with nothing", true, true, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 2)
+			if v.leaves {
+				w.view(2, 2)
+			}
+			n := 0
+			for range 40 {
+				as := w.packet(false)
+				for range 3 {
+					var next []direct.Action
+					for _, a := range as {
+						if a.Reset != nil {
+							n++
+						}
+						if !a.To.IsValid() || a.To == agentAddr(1) && !v.answers {
+							continue
+						}
+						w.d.Answer(a.To, balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}, w.t)
+						next = append(next, w.d.Take()...)
+					}
+					as = append(next, w.pass(45*time.Millisecond)...)
+				}
+				if n > 0 {
+					break
+				}
+			}
+			w.Assert(n, qt.Equals, v.resets)
+		})
+	}
+}
+
 // TestUnseenBeforeStart denies a flow everywhere at a balancer that started
 // after the flow's agent had left the view: the other agents saw it leave.
 func TestUnseenBeforeStart(t *testing.T) {
 	tests := []struct {
-		name   string
-		reason balsampier.Reason
-		resets int
+		name string
+		// since is when the balancer started, lost when an agent left.
+		since, lost time.Duration
+		resets      int
 	}{
-		{"nobody left", balsampier.ReasonNone, 1},
-		{"an agent left lately", balsampier.ReasonUnsettled, 0},
+		{"nobody left", 0, 0, 1},
+		{"an agent left before", 0, time.Second, 0},
+		{"an agent left about then", 10 * time.Second, 9 * time.Second, 0},
+		{"an agent left that this balancer saw leave", 10 * time.Second, 3 * time.Second, 1},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
 			w := newWorld(qt.New(t), 2)
+			w.pass(v.since)
 			as, n := w.packet(false), 0
 			for range 10 {
 				var next []direct.Action
@@ -568,7 +618,7 @@
 					}
 					r := balsampier.Relay{Kind: balsampier.RelayNotMine, Flow: a.Relay.Flow}
 					if a.Relay.Kind == balsampier.RelaySearch && a.To == agentAddr(1) {
-						r.Reason = v.reason
+						r.Lost = v.lost
 					}
 					w.d.Answer(a.To, r, w.t)
 					next = append(next, w.d.Take()...)
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -21,6 +21,11 @@
 	// maxSearched bounds the flows of one search: with 8 bytes each a message
 	// stays below 1 KB.
 	maxSearched = 100
+	// goneAfter is how many searches in turn an agent that left the view leaves
+	// unanswered until it is not waited for: more than a few lost datagrams.
+	goneAfter = 3
+	// viewLag bounds how much later than others a member may learn of a view.
+	viewLag = 2 * time.Second
 	// keyBytes is the length of a flow in a search.
 	keyBytes = 8
 )
@@ -47,7 +52,8 @@
 		waiting []netip.AddrPort
 		// unsure are those that do not know all flows of their server.
 		unsure []netip.AddrPort
-		// unseen are those that saw an agent of their service leave lately.
+		// unseen are those that saw an agent of their service leave before
+		// this balancer had its first view.
 		unseen []netip.AddrPort
 		// found has the agents of each flow that was found: two where only one
 		// of them was acknowledged.
@@ -79,7 +85,7 @@
 	q.number++
 	q.began = t
 	s := &search{
-		number: q.number, keys: q.next, until: t.Add(searchTimeout), waiting: d.agents.all(),
+		number: q.number, keys: q.next, until: t.Add(searchTimeout), waiting: d.agents.awaited(),
 		found: make(map[uint64][]netip.AddrPort),
 	}
 	q.next = nil
@@ -89,7 +95,7 @@
 		b = binary.BigEndian.AppendUint64(b, k.Hi)
 	}
 	r := balsampier.Relay{Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: s.number}, Revision: d.routes.revision, Payload: b}
-	for _, a := range s.waiting {
+	for _, a := range d.agents.all() {
 		d.out = append(d.out, Action{To: a, Relay: r})
 	}
 	d.out = append(d.out, Action{Note: Note{Event: "search", Candidates: len(s.keys), Revision: d.routes.revision}})
@@ -99,14 +105,15 @@
 func (d *Director) searched(from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	q := &d.searches
 	i := slices.IndexFunc(q.under, func(s *search) bool { return s.number == r.Flow.Lo })
-	if i < 0 || !drop(&q.under[i].waiting, from) {
+	if i < 0 {
 		return
 	}
 	s := q.under[i]
+	drop(&s.waiting, from)
 	if r.Kind == balsampier.RelayUnsure {
 		s.unsure = append(s.unsure, from)
 	}
-	if r.Reason == balsampier.ReasonUnsettled {
+	if r.Lost > 0 && t.Add(-r.Lost).Before(d.started.Add(viewLag)) {
 		s.unseen = append(s.unseen, from)
 	}
 	for b := r.Payload; len(b) >= keyBytes; b = b[keyBytes:] {
@@ -171,6 +178,7 @@
 	for len(q.under) > 0 && !t.Before(q.under[0].until) {
 		s := q.under[0]
 		q.under = q.under[1:]
+		d.agents.missed(s.waiting)
 		d.out = append(d.out, Action{Note: Note{
 			Event: "search ended", Candidates: len(s.waiting), Reason: balsampier.ReasonSilent, Revision: d.routes.revision,
 		}})
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -210,11 +210,12 @@
 			have = append(have, b[:keyBytes]...)
 		}
 	}
-	v := balsampier.ReasonNone
-	if !h.lostAt.IsZero() && t.Sub(h.lostAt) < lostFor {
-		v = balsampier.ReasonUnsettled
+	_, v := h.g.Allowed(netip.AddrPort{})
+	o := balsampier.Relay{Kind: k, Flow: r.Flow, Revision: v, Load: h.Load(), Payload: have}
+	if d := t.Sub(h.lostAt); !h.lostAt.IsZero() && d < lostFor {
+		o.Lost = max(d, 1)
 	}
-	h.answer(from, k, r.Flow, v, have)
+	h.out = append(h.out, Action{To: from, Answer: o})
 }
 
 // AdoptAgents takes over which agents of the service are in the view.
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -394,15 +394,18 @@
 func TestLostSight(t *testing.T) {
 	w := newWorld(qt.New(t), true)
 	w.h.Heartbeat(state(0, 1, false))
-	reason := func() balsampier.Reason {
+	lost := func() time.Duration {
 		w.h.Relay(balancer, balsampier.Relay{Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: 1}}, balsampier.Segment{}, w.t)
-		_, r, _ := said(w.h.Take())
-		return r
+		as := w.h.Take()
+		w.Assert(as, qt.HasLen, 1)
+		return as[0].Answer.Lost
 	}
 	w.h.AdoptAgents([]netip.AddrPort{balancer, client}, w.t)
-	w.Assert(reason(), qt.Equals, balsampier.ReasonNone)
+	w.Assert(lost(), qt.Equals, time.Duration(0))
 	w.h.AdoptAgents([]netip.AddrPort{client}, w.t)
-	w.Assert(reason(), qt.Equals, balsampier.ReasonUnsettled)
-	w.t = w.t.Add(21 * time.Second)
-	w.Assert(reason(), qt.Equals, balsampier.ReasonNone)
+	w.Assert(lost() > 0, qt.IsTrue)
+	w.t = w.t.Add(3 * time.Second)
+	w.Assert(lost(), qt.Equals, 3*time.Second)
+	w.t = w.t.Add(18 * time.Second)
+	w.Assert(lost(), qt.Equals, time.Duration(0))
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
@@ -15,7 +17,7 @@
 	m.Kind, m.Service, m.Revision = uint32(r.Kind), uint64(r.Service), uint64(r.Revision)
 	m.FlowHi, m.FlowLo, m.Reason = r.Flow.Hi, r.Flow.Lo, uint32(r.Reason)
 	m.Flows, m.Running, m.Slots = uint32(r.Load.Connections), uint32(r.Load.Running), uint32(r.Load.Slots)
-	m.Payload = r.Payload
+	m.Payload, m.LostNanos = r.Payload, uint64(r.Lost)
 	n := len(b)
 	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
 	// The pool keeps no caller's data.
@@ -47,9 +49,9 @@
 		Load: balsampier.Load{
 			Connections: int(m.GetFlows()), Running: int(m.GetRunning()), Slots: int(m.GetSlots()),
 		},
-		Payload: m.GetPayload(),
+		Payload: m.GetPayload(), Lost: time.Duration(m.GetLostNanos()),
 	}
-	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayEnded) || m.GetReason() > uint32(balsampier.ReasonRevision) || r.Flow.IsZero() {
+	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayEnded) || m.GetReason() > uint32(balsampier.ReasonRevision) || r.Flow.IsZero() || r.Lost < 0 {
 		return balsampier.Relay{}, errEnvelope("the relay names no flow or an unknown kind")
 	}
 	return r, nil
--- a/relay.go
+++ b/relay.go
@@ -1,5 +1,7 @@
 package balsampier
 
+import "time"
+
 const (
 	// RelayOpen gives an opening packet to an agent.
 	RelayOpen RelayKind = iota + 1
@@ -12,8 +14,7 @@
 	RelayAsk
 	// RelaySearch asks an agent which of many flows it has. Its answer is
 	// RelayNotMine, or RelayUnsure where the agent does not know all flows of
-	// its server, with those that it has. Its reason is ReasonUnsettled where
-	// an agent left the view lately whose server may live on.
+	// its server, with those that it has.
 	RelaySearch
 	// RelayTook says that the opening packet went to the server.
 	RelayTook
@@ -47,8 +48,12 @@
 		Service ServiceHash
 		// Revision is that of the sender's routes.
 		Revision Revision
-		// Reason is set in RelayRefused and in answers to searches.
+		// Reason is set in RelayRefused only.
 		Reason Reason
+		// Lost is how long ago an agent of the answering one's service left
+		// the view, whose server may live on; zero where none has lately. It
+		// is set in answers to searches only.
+		Lost time.Duration
 		// Load is that of an answering agent.
 		Load Load
 		// Payload is the packet in RelayOpen, RelayDeliver and RelayTry, and
