--- /dev/null
+++ b/soak/fleet/processes_test.go
@@ -0,0 +1,292 @@
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	controls  = 3
+	balancers = 3
+	agents    = 5
+	clients   = 8
+
+	peerPort     = 7000
+	operatorPort = 7100
+	backendPort  = 7101
+	packetPort   = 7200
+	serverPort   = 9000
+	outboundPort = 9001
+
+	// stopTimeout bounds a graceful stop: the programs promise one within 6 s.
+	stopTimeout = 6 * time.Second
+)
+
+// Kinds of addresses; each is a part of the loopback range.
+const (
+	atControl = iota + 1
+	atBalancer
+	atAgent
+	atClient
+	atSeedProxy
+	atOperatorProxy
+	atBackendProxy
+)
+
+type (
+	// processes are the real programs of one fleet.
+	processes struct {
+		*qt.C
+		// net is the second byte of all addresses, so that runs side by side
+		// do not meet.
+		net    int
+		bin    string
+		folder string
+		all    []*process
+	}
+
+	process struct {
+		// program is control, balancer or agent; number counts from 0.
+		program string
+		number  int
+		// settings is the file that the program reads; data the folder of its
+		// state, empty where it has none.
+		settings, data string
+		log            *os.File
+
+		// busy is held by the fault that has the process.
+		busy sync.Mutex
+
+		mu  sync.Mutex
+		cmd *exec.Cmd
+		// ended is closed when the present run has ended.
+		ended chan struct{}
+		// asked is true once a signal told the present run to end.
+		asked bool
+		// disturbed is when a fault last hit the process.
+		disturbed time.Time
+	}
+)
+
+// build builds the programs once.
+var build = sync.OnceValues(func() (string, error) {
+	f, err := os.MkdirTemp("", "balsampier-soak-")
+	if err != nil {
+		return "", err
+	}
+	for _, m := range []string{"control", "balancer", "agent"} {
+		c := exec.Command("go", "build", "-o", f+"/", ".")
+		c.Dir = filepath.Join("..", "..", "cmd", m)
+		if o, err := c.CombinedOutput(); err != nil {
+			return "", fmt.Errorf("build %s: %w: %s", m, err, o)
+		}
+	}
+	return f, nil
+})
+
+func TestMain(m *testing.M) {
+	n := m.Run()
+	if f, err := build(); err == nil {
+		_ = os.RemoveAll(f)
+	}
+	os.Exit(n)
+}
+
+func newProcesses(c *qt.C) *processes {
+	bin, err := build()
+	c.Assert(err, qt.IsNil)
+	f, err := os.MkdirTemp("", "balsampier-fleet-")
+	c.Assert(err, qt.IsNil)
+	p := &processes{C: c, net: 64 + os.Getpid()%150, bin: bin, folder: f}
+	c.Cleanup(func() {
+		p.killAll()
+		if c.Failed() {
+			c.Logf("logs and data are kept in %s", f)
+			return
+		}
+		_ = os.RemoveAll(f)
+	})
+	c.Assert(os.WriteFile(filepath.Join(f, "key"), []byte("a key for the peers of one fleet"), 0o600), qt.IsNil)
+	for i := range controls {
+		p.add("control", i)
+	}
+	for i := range balancers {
+		p.add("balancer", i)
+	}
+	for i := range agents {
+		p.add("agent", i)
+	}
+	return p
+}
+
+func (p *processes) ip(kind, i int) string { return fmt.Sprintf("127.%d.%d.%d", p.net, kind, i+1) }
+
+func (p *processes) addr(kind, i, port int) string { return fmt.Sprintf("%s:%d", p.ip(kind, i), port) }
+
+func (p *processes) add(program string, i int) {
+	x := &process{program: program, number: i, settings: filepath.Join(p.folder, fmt.Sprintf("%s-%d.yaml", program, i))}
+	if program == "control" {
+		x.data = filepath.Join(p.folder, fmt.Sprintf("data-%d", i))
+	}
+	var err error
+	x.log, err = os.Create(strings.TrimSuffix(x.settings, "yaml") + "out")
+	p.Assert(err, qt.IsNil)
+	p.all = append(p.all, x)
+	p.configure(x, false)
+}
+
+// configure writes the settings of a process.
+func (p *processes) configure(x *process, joining bool) {
+	kind := map[string]int{"control": atControl, "balancer": atBalancer, "agent": atAgent}[x.program]
+	seeds := atSeedProxy
+	if x.program == "control" {
+		seeds = atControl
+	}
+	var ss []string
+	for i := range controls {
+		ss = append(ss, fmt.Sprintf("%q", p.addr(seeds, i, operatorPort)))
+	}
+	b := &strings.Builder{}
+	line := func(format string, args ...any) { fmt.Fprintf(b, format+"\n", args...) }
+	line("name: %s-%d\ndataCentre: zone-%d", x.program, x.number, x.number%2)
+	line("operatorAddress: %q\noperatorKeyFile: %s\npeerKeyFile: %s", p.addr(kind, x.number, operatorPort), p.folder+"/key", p.folder+"/key")
+	list := "[" + strings.Join(ss, ", ") + "]"
+	switch x.program {
+	case "control":
+		line("peerAddress: %q\ndataFolder: %s\ndocuments: true\njoining: %v\ntolerance: 1", p.addr(kind, x.number, peerPort), x.data, joining)
+		line("electionTimeout: 500ms\nwatchBudget: 4000000\nseeds: %s", list)
+	case "balancer":
+		line("peerAddress: %q\ndatagram:\n  clientAddress: %q", p.addr(kind, x.number, peerPort), p.addr(kind, x.number, packetPort))
+		line("  controlPort: %d\n  seeds: %s", peerPort, list)
+	case "agent":
+		line("peerAddress: %q\nbackendAddress: %q", p.addr(kind, x.number, packetPort), p.addr(kind, x.number, backendPort))
+		line("datagram:\n  service: %s\n  serverAddress: %q", serviceOf(x.number), p.addr(kind, x.number, serverPort))
+		line("  outboundAddress: %q\n  joining: %v", p.addr(kind, x.number, outboundPort), joining)
+		line("  controlPort: %d\n  seeds: %s", peerPort, list)
+	}
+	p.Assert(os.WriteFile(x.settings, []byte(b.String()), 0o600), qt.IsNil)
+}
+
+// start starts a process that does not run.
+func (p *processes) start(x *process) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.running() {
+		return
+	}
+	if x.data != "" {
+		p.Check(os.MkdirAll(x.data, 0o700), qt.IsNil)
+	}
+	c := exec.Command(filepath.Join(p.bin, x.program), "run", "--config", x.settings)
+	c.Stdout, c.Stderr = x.log, x.log
+	if err := c.Start(); err != nil {
+		p.Errorf("start %s %d: %v", x.program, x.number, err)
+		return
+	}
+	e := make(chan struct{})
+	x.cmd, x.ended, x.asked, x.disturbed = c, e, false, time.Now()
+	go func() {
+		err := c.Wait()
+		x.mu.Lock()
+		asked := x.asked
+		x.mu.Unlock()
+		if !asked {
+			p.Errorf("%s %d ended by itself: %v", x.program, x.number, err)
+		}
+		close(e)
+	}()
+}
+
+func (x *process) running() bool {
+	if x.ended == nil {
+		return false
+	}
+	select {
+	case <-x.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to a process that runs.
+func (x *process) signal(s syscall.Signal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.disturbed = time.Now()
+	if !x.running() {
+		return
+	}
+	x.asked = x.asked || s == syscall.SIGKILL || s == syscall.SIGTERM
+	_ = x.cmd.Process.Signal(s)
+}
+
+// end ends a process by a signal and waits for it.
+func (p *processes) end(x *process, s syscall.Signal) {
+	x.mu.Lock()
+	e := x.ended
+	x.mu.Unlock()
+	if e == nil {
+		return
+	}
+	x.signal(s)
+	c, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	select {
+	case <-e:
+	case <-c.Done():
+		if s == syscall.SIGTERM {
+			p.Errorf("%s %d did not stop within %v", x.program, x.number, stopTimeout)
+		}
+		x.signal(syscall.SIGKILL)
+		<-e
+	}
+}
+
+func (x *process) quietFor() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Since(x.disturbed)
+}
+
+func (p *processes) killAll() {
+	for _, x := range p.all {
+		x.signal(syscall.SIGCONT)
+		p.end(x, syscall.SIGKILL)
+		_ = x.log.Close()
+	}
+}
+
+// wipe empties the folder of a control instance that does not run.
+func (p *processes) wipe(x *process) {
+	p.Check(os.RemoveAll(x.data), qt.IsNil)
+	p.configure(x, true)
+}
+
+// tear leaves what a loss of power leaves behind the last sync: bytes that make
+// no record.
+func (p *processes) tear(x *process, b []byte) {
+	fs, err := filepath.Glob(filepath.Join(x.data, "*log*"))
+	if err != nil || len(fs) == 0 {
+		return
+	}
+	f, err := os.OpenFile(fs[len(fs)-1], os.O_APPEND|os.O_WRONLY, 0)
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	p.Check(err, qt.IsNil)
+	_, err = f.Write(b)
+	p.Check(err, qt.IsNil)
+	p.Check(f.Close(), qt.IsNil)
+}
