--- a/peer/client.go
+++ b/peer/client.go
@@ -111,7 +111,11 @@
 		if err != nil {
 			return decodeError("watch", err)
 		}
-		if err := f(watchMessage(m)); err != nil {
+		w, err := watchMessage(m)
+		if err != nil {
+			return err
+		}
+		if err := f(w); err != nil {
 			return err
 		}
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -45,6 +45,8 @@
 	controlServer struct {
 		key Key
 		h   ControlHandler
+		// texts are those of the watch streams.
+		texts packer
 	}
 )
 
@@ -127,6 +129,10 @@
 		},
 	}
 	return encodeError(s.h.Watch(m.Context(), w, func(u balsampier.WatchMessage) error {
-		return trace.Wrap(m.Send(putWatchMessage(u)))
+		p, err := putWatchMessage(u, &s.texts)
+		if err != nil {
+			return err
+		}
+		return trace.Wrap(m.Send(p))
 	}))
 }
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -39,15 +39,22 @@
 	return tagBytes + 3 + n
 }
 
-func putWatchMessage(m balsampier.WatchMessage) *peerpb.WatchResponse {
+func putWatchMessage(m balsampier.WatchMessage, k *packer) (*peerpb.WatchResponse, error) {
 	p := &peerpb.WatchResponse{
 		Confirmed: m.Confirmed, Revision: uint64(m.Revision), Epoch: uint64(m.Epoch), Active: uint64(m.Active),
 	}
 	if r := m.Rules; r != nil {
+		b, err := k.pack(r.Delta.Insert)
+		if err != nil {
+			return nil, err
+		}
 		p.MoreRules = r.More
 		p.Rules = &peerpb.RulesDelta{
 			From: uint64(r.Delta.From), Skip: uint32(r.Delta.Skip), Cut: uint32(r.Delta.Cut), Insert: r.Delta.Insert,
-			Sum: r.Delta.Sum, SameZones: r.Delta.SameZones, File: putRules(r.Delta.File),
+			Sum: r.Delta.Sum, SameZones: r.Delta.SameZones, File: putRules(r.Delta.File), Packed: b,
+		}
+		if b != nil {
+			p.Rules.Insert = ""
 		}
 	}
 	if v := m.View; v != nil {
@@ -59,17 +66,24 @@
 			p.View.Removed = append(p.View.Removed, uint64(i))
 		}
 	}
-	return p
+	return p, nil
 }
 
-func watchMessage(p *peerpb.WatchResponse) balsampier.WatchMessage {
+func watchMessage(p *peerpb.WatchResponse) (balsampier.WatchMessage, error) {
 	m := balsampier.WatchMessage{
 		Confirmed: p.GetConfirmed(), Revision: balsampier.Revision(p.GetRevision()),
 		Epoch: balsampier.Epoch(p.GetEpoch()), Active: balsampier.Epoch(p.GetActive()),
 	}
 	if r := p.GetRules(); r != nil {
+		insert := r.GetInsert()
+		if b := r.GetPacked(); len(b) > 0 {
+			var err error
+			if insert, err = unpack(b); err != nil {
+				return m, err
+			}
+		}
 		m.Rules = &balsampier.RulesPart{More: p.GetMoreRules(), Delta: balsampier.RulesDelta{
-			From: balsampier.Revision(r.GetFrom()), Skip: int(r.GetSkip()), Cut: int(r.GetCut()), Insert: r.GetInsert(),
+			From: balsampier.Revision(r.GetFrom()), Skip: int(r.GetSkip()), Cut: int(r.GetCut()), Insert: insert,
 			Sum: r.GetSum(), SameZones: r.GetSameZones(), File: rules(r.GetFile()),
 		}}
 	}
@@ -81,5 +95,5 @@
 			m.View.Delta.Removed = append(m.View.Delta.Removed, balsampier.InstanceID(i))
 		}
 	}
-	return m
+	return m, nil
 }
--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -34,6 +34,7 @@
 		cause string
 	}{
 		{1, "none: the first"},
+		{6, "the server stand-in ran a late copy of an older request"},
 	}
 
 	faults = []struct {
--- a/soak/fleet/servers_test.go
+++ b/soak/fleet/servers_test.go
@@ -60,10 +60,11 @@
 	served struct {
 		first uint32
 		open  bool
-		// last is the newest request, answer its answer: repeated packets run
-		// nothing twice.
+		// last is the newest request, answer its answer, next the client's
+		// number behind it: repeated packets run nothing twice.
 		last   uint64
 		answer []byte
+		next   uint32
 	}
 
 	// answer is what a server says to a request.
@@ -221,11 +222,14 @@
 
 // answer runs a request once and answers each copy of it.
 func (s *server) answer(c *net.UDPConn, f *served, g balsampier.Segment, id uint64) {
-	if f.last != id {
+	switch old := int32(g.Sequence-f.next) < 0; {
+	case f.last != 0 && old && f.last != id:
+		return
+	case f.last != id:
 		s.w.ran(s, g, id)
 		b, err := json.Marshal(answer{ID: id, Service: serviceOf(s.agent)})
 		s.w.Check(err, qt.IsNil)
-		f.last, f.answer = id, b
+		f.last, f.answer, f.next = id, b, g.Sequence+uint32(g.Length)
 	}
 	p := packet(g, true, flagAck, f.first+1, g.Sequence+uint32(g.Length), f.answer)
 	time.AfterFunc(workTime, func() { s.send(c, p) })
