--- a/soak/fleet/servers_test.go
+++ b/soak/fleet/servers_test.go
@@ -156,8 +156,10 @@
 			Cold     float64 `json:"cold_remaining_ms"`
 			Sequence int     `json:"sequence"`
 			Born     int64   `json:"born"`
-		}{serviceOf(s.agent), s.w.addr(atAgent, s.agent, serverPort), fmt.Sprint("zone-", s.agent%2), 5,
-			map[bool]string{true: "draining", false: "ready"}[draining], 0, n, s.born.UnixMilli()})
+		}{
+			serviceOf(s.agent), s.w.addr(atAgent, s.agent, serverPort), fmt.Sprint("zone-", s.agent%2), 5,
+			map[bool]string{true: "draining", false: "ready"}[draining], 0, n, s.born.UnixMilli(),
+		})
 		s.mu.Unlock()
 		s.w.Check(err, qt.IsNil)
 		r, err := h.Post("http://"+s.w.addr(atBackendProxy, s.agent, backendPort)+"/Instances.Heartbeat/"+id, "application/json", bytes.NewReader(b))
