--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -246,7 +246,7 @@
 			for _, v := range w.servers {
 				v.crash()
 			}
-			w.Logf("seed %d: %d requests, %d documents, the newest %d", s.seed, w.next, len(w.sentText), w.held)
+			w.Logf("seed %d: %s", s.seed, w.summary())
 		})
 	}
 }
--- a/soak/fleet/world_test.go
+++ b/soak/fleet/world_test.go
@@ -83,6 +83,13 @@
 	return w
 }
 
+// summary tells what was sent.
+func (w *world) summary() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return fmt.Sprintf("%d requests, %d documents, the newest acknowledged is %d", w.next, len(w.sentText), w.held)
+}
+
 // sent numbers a request.
 func (w *world) sent(*flow) uint64 {
 	w.mu.Lock()
@@ -192,7 +199,7 @@
 	for i, r := range w.routes {
 		x := rt{Name: fmt.Sprint("r-", i), Hostname: r.to.Addr().String(), Prefix: fmt.Sprintf("/%d/", r.to.Port()), Timeout: 2000 + version}
 		for _, s := range r.services {
-			x.Split = append(x.Split, target{s, 1 + w.r.IntN(9)})
+			x.Split = append(x.Split, target{s, 1 + rand.IntN(9)})
 		}
 		rs = append(rs, x)
 	}
@@ -209,7 +216,7 @@
 // change sends a newer document until it is acknowledged or a while has passed.
 func (w *world) change(c context.Context) {
 	w.mu.Lock()
-	w.version += 1 + w.r.IntN(3)
+	w.version += 1 + rand.IntN(3)
 	v := w.version
 	t := w.document(v)
 	w.sentText[v] = t
