--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -88,7 +88,7 @@
 		{"server drained", func(w *world, r *rand.Rand) {
 			s := w.servers[r.IntN(agents)]
 			s.drain()
-			time.Sleep(time.Duration(1500+r.IntN(1500)) * time.Millisecond)
+			time.Sleep(drainBound + time.Duration(500+r.IntN(1500))*time.Millisecond)
 			s.crash()
 			time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
 			s.restart()
@@ -183,6 +183,9 @@
 		go newClient(w, i).run(c)
 	}
 	w.serves(startBound, "a new fleet")
+	for _, x := range w.all {
+		x.settle()
+	}
 }
 
 // serves waits until nearly all requests are served.
--- a/soak/fleet/processes_test.go
+++ b/soak/fleet/processes_test.go
@@ -254,6 +254,14 @@
 	}
 }
 
+// settle forgets that the process was started.
+func (x *process) settle() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.disturbed = time.Time{}
+}
+
+// quietFor returns how long no fault has hit the process.
 func (x *process) quietFor() time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
