fix: members leave a control instance that is cut off within their bound

It followed frontend-lima-a-1, which was cut off from the other control instances at 7.55 s and still reached the balancer. The instance passed its last confirmation on for 2 s, and the balancer then waited 4 s more for another: 6 s, where routes are to be in force within 3 to 4 s. Ruled out: a hung connection (heartbeats came all the while). Change: confirmations are passed on for 1 s, and a member waits 1.5 s for the next.

--- a/cmd/control/app/watch.go
+++ b/cmd/control/app/watch.go
@@ -20,7 +20,7 @@
 	// confirmWait bounds one try: several round trips between regions.
 	confirmWait = 500 * time.Millisecond
 	// confirmValid is how long a confirmation is passed on.
-	confirmValid = 2 * time.Second
+	confirmValid = time.Second
 )
 
 type (
--- a/command/follow/follow.go
+++ b/command/follow/follow.go
@@ -31,7 +31,7 @@
 	Silence = 4 * members.HeartbeatInterval
 	// Patience is how long a stream may stay without confirmation before
 	// another instance is tried.
-	Patience = 8 * members.HeartbeatInterval
+	Patience = 3 * members.HeartbeatInterval
 )
 
 var (
