test: a fleet whose seeds are relays does not recover from a power loss

What callers see: after all processes lost power at once no request is served any more, if the settings name control instances without a disk as seeds. The soak's fleet has three relays from now on, as the platform has.

--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -196,7 +196,8 @@
 }
 
 // waitUntilServing waits until at least 20 requests succeed in a second and at
-// most a tenth as many fail. The test fails if that takes longer than within.
+// most a tenth as many fail, and logs how long that took. The test fails if it
+// takes longer than within.
 func (w *world) waitUntilServing(within time.Duration, what string) {
 	t := time.Now()
 	for succeeded, failed := w.tally(); succeeded < 20 || failed*10 > succeeded; succeeded, failed = w.tally() {
@@ -206,6 +207,7 @@
 		}
 		time.Sleep(time.Second)
 	}
+	w.Logf("%s: serving after %v", what, time.Since(t).Round(100*time.Millisecond))
 }
 
 // injectFaults injects random faults that may overlap, waits for their end, and
--- a/soak/fleet/processes_test.go
+++ b/soak/fleet/processes_test.go
@@ -17,7 +17,9 @@
 )
 
 const (
-	controls  = 3
+	controls = 3
+	// relays are control instances without a data folder.
+	relays    = 3
 	balancers = 3
 	agents    = 5
 	clients   = 8
@@ -37,6 +39,7 @@
 // Kinds of addresses. Each kind has its own subnet of the loopback range.
 const (
 	atControl = iota + 1
+	atRelay
 	atBalancer
 	atAgent
 	atClient
@@ -54,12 +57,18 @@
 		subnet int
 		bin    string
 		folder string
-		all    []*process
+		// all has the control instances first, then the relays.
+		all []*process
+
+		seedsMu sync.Mutex
+		// relaySeeds is true if settings written from now on name the relays as
+		// seeds instead of the control instances.
+		relaySeeds bool
 	}
 
 	// process is one program of the fleet and its current run.
 	process struct {
-		// program is control, balancer or agent; number counts from 0.
+		// program is control, relay, balancer or agent; number counts from 0.
 		program string
 		number  int
 		// settings is the path of the settings file. data is the folder of the
@@ -126,6 +135,9 @@
 	for i := range controls {
 		p.addProcess("control", i)
 	}
+	for i := range relays {
+		p.addProcess("relay", i)
+	}
 	for i := range balancers {
 		p.addProcess("balancer", i)
 	}
@@ -157,14 +169,10 @@
 // configure writes the settings of a process. joining is true for one that joins
 // a running fleet.
 func (p *processes) configure(x *process, joining bool) {
-	kind := map[string]int{"control": atControl, "balancer": atBalancer, "agent": atAgent}[x.program]
-	seeds := atSeedProxy
-	if x.program == "control" {
-		seeds = atControl
-	}
+	kind := map[string]int{"control": atControl, "relay": atRelay, "balancer": atBalancer, "agent": atAgent}[x.program]
 	var ss []string
 	for i := range controls {
-		ss = append(ss, fmt.Sprintf("%q", p.addr(seeds, i, operatorPort)))
+		ss = append(ss, fmt.Sprintf("%q", p.addr(p.seedKind(x), i, operatorPort)))
 	}
 	b := &strings.Builder{}
 	line := func(format string, args ...any) { fmt.Fprintf(b, format+"\n", args...) }
@@ -172,8 +180,8 @@
 	line("operatorAddress: %q\noperatorKeyFile: %s\npeerKeyFile: %s", p.addr(kind, x.number, operatorPort), p.folder+"/key", p.folder+"/key")
 	list := "[" + strings.Join(ss, ", ") + "]"
 	switch x.program {
-	case "control":
-		line("peerAddress: %q\ndataFolder: %s\ndocuments: true\njoining: %v\ntolerance: 1", p.addr(kind, x.number, peerPort), x.data, joining)
+	case "control", "relay":
+		line("peerAddress: %q\ndataFolder: %q\ndocuments: true\njoining: %v\ntolerance: 1", p.addr(kind, x.number, peerPort), x.data, joining)
 		line("electionTimeout: 500ms\nwatchBudget: 4000000\nseeds: %s", list)
 	case "balancer":
 		line("peerAddress: %q\ndatagram:\n  clientAddress: %q", p.addr(kind, x.number, peerPort), p.addr(kind, x.number, packetPort))
@@ -187,6 +195,35 @@
 	p.Assert(os.WriteFile(x.settings, []byte(b.String()), 0o600), qt.IsNil)
 }
 
+// seedKind returns the kind of the addresses that a process gets as seeds.
+// Members reach control instances through proxies.
+func (p *processes) seedKind(x *process) int {
+	p.seedsMu.Lock()
+	defer p.seedsMu.Unlock()
+	switch {
+	case p.relaySeeds:
+		return atRelay
+	case x.data != "":
+		return atControl
+	}
+	return atSeedProxy
+}
+
+// setRelaySeeds selects the seeds that are written to settings from now on.
+func (p *processes) setRelaySeeds(on bool) {
+	p.seedsMu.Lock()
+	defer p.seedsMu.Unlock()
+	p.relaySeeds = on
+}
+
+// binary returns the name of the program file. A relay is a control instance.
+func (x *process) binary() string {
+	if x.program == "relay" {
+		return "control"
+	}
+	return x.program
+}
+
 // start starts a process unless it runs.
 func (p *processes) start(x *process) {
 	x.mu.Lock()
@@ -197,7 +234,7 @@
 	if x.data != "" {
 		p.Check(os.MkdirAll(x.data, 0o700), qt.IsNil)
 	}
-	c := exec.Command(filepath.Join(p.bin, x.program), "run", "--config", x.settings)
+	c := exec.Command(filepath.Join(p.bin, x.binary()), "run", "--config", x.settings)
 	c.Stdout, c.Stderr = x.log, x.log
 	if err := c.Start(); err != nil {
 		p.Errorf("start %s %d: %v", x.program, x.number, err)
--- /dev/null
+++ b/soak/fleet/recovery_test.go
@@ -0,0 +1,114 @@
+package fleet_test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// noDisk means that a power loss takes no disk with it.
+	noDisk = -1
+	// outage is how long a power loss lasts.
+	outage = 800 * time.Millisecond
+)
+
+// losePower kills all processes and servers at once, deletes the data of control
+// instance lost unless that is noDisk, and starts everything again with settings
+// written anew. It returns when everything has started.
+func (w *world) losePower(lost int) {
+	for _, s := range w.servers {
+		s.crash()
+	}
+	var g sync.WaitGroup
+	for _, x := range w.all {
+		g.Go(func() { w.terminate(x, syscall.SIGKILL) })
+	}
+	g.Wait()
+	time.Sleep(outage)
+	for i, x := range w.all {
+		if i == lost {
+			w.wipeData(x)
+		}
+		w.configure(x, true)
+		w.start(x)
+	}
+	for _, s := range w.servers {
+		s.restart()
+	}
+}
+
+// readAcknowledged waits until a control instance returns the document, whose
+// version readDocument checks.
+func (w *world) readAcknowledged(c context.Context, what string) {
+	for end := time.Now().Add(recoveryTimeout); !w.readDocument(c); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.Errorf("%s: no control instance returned the document within %v", what, recoveryTimeout)
+			return
+		}
+	}
+}
+
+// TestRecovery checks that requests are served again within recoveryTimeout
+// after all processes lost power at once, while something else was half done,
+// and that a disk may be lost again once the instances had time to catch up.
+// Guards against members and blank instances that cannot find control.
+func TestRecovery(t *testing.T) {
+	tests := []struct {
+		name string
+		// relaySeeds is true if the seeds are relays after the power loss.
+		relaySeeds bool
+		// halfDone is called right before the power loss; may be nil.
+		halfDone func(w *world)
+		lost     int
+	}{
+		{"a disk is lost", false, nil, 0},
+		{"the seeds are relays and a disk is lost", true, nil, 0},
+		{"the seeds are relays and a blank instance is no voter yet", true, func(w *world) {
+			x := w.all[2]
+			w.terminate(x, syscall.SIGKILL)
+			w.wipeData(x)
+			w.start(x)
+		}, noDisk},
+		{"the seeds are relays and instances are stopping", true, func(w *world) {
+			for _, x := range []*process{w.all[1], w.all[controls], w.all[controls+relays], w.all[controls+relays+balancers]} {
+				x.signal(syscall.SIGTERM)
+			}
+		}, noDisk},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c, 1)
+			x, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			w.startFleet(x)
+			w.submitDocument(x)
+			if c.Failed() {
+				return
+			}
+			if v.halfDone != nil {
+				v.halfDone(w)
+			}
+			w.setRelaySeeds(v.relaySeeds)
+			w.losePower(v.lost)
+			w.waitUntilServing(recoveryTimeout, "the fleet after the power loss")
+			w.readAcknowledged(x, "after the power loss")
+			time.Sleep(catchUpDelay)
+			w.terminate(w.all[1], syscall.SIGKILL)
+			w.wipeData(w.all[1])
+			w.start(w.all[1])
+			w.readAcknowledged(x, "after the loss of another disk")
+			w.waitUntilServing(recoveryTimeout, "the fleet after the loss of another disk")
+			cancel()
+			for _, s := range w.servers {
+				s.crash()
+			}
+			w.Logf("%s", w.summary())
+		})
+	}
+}
