feat: log the addresses of control that a process uses

What callers saw: nothing. Change: errors of watch and renewal name the address, control instances updated lists the addresses, and a replica logs its seeds when they are reloaded.

--- a/cmd/control/app/documents.go
+++ b/cmd/control/app/documents.go
@@ -98,7 +98,9 @@
 	}
 	if err := t.inputs.Push(context.Background(), input{kind: inputSeeds, seeds: ids}); err != nil {
 		t.log.Warn().Err(err).Msg("failed to apply the reloaded seeds")
+		return
 	}
+	t.log.Info().Str("seeds", fmt.Sprint(s.Seeds)).Msg("seeds reloaded")
 }
 
 func errDocumentConflict(v balsampier.Revision) error {
--- a/control/session.go
+++ b/control/session.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -204,7 +205,7 @@
 	s.controlAddrs = as
 	s.o.SetInstances(as)
 	s.follower.SetInstances(len(as))
-	s.o.Logger.Info().Int("instances", len(as)).Msg("control instances updated")
+	s.o.Logger.Info().Int("instances", len(as)).Str("addresses", fmt.Sprint(as)).Msg("control instances updated")
 }
 
 func compileRules(r balsampier.RuleFile) (*inforce.Table, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -30,8 +30,10 @@
 		// in use.
 		addrs       []netip.AddrPort
 		currentAddr int
-		// conn is the connection for unary calls; nil if none is open.
-		conn drpc.Conn
+		// conn is the connection for unary calls, to connAddr; nil if none is
+		// open.
+		conn     drpc.Conn
+		connAddr netip.AddrPort
 	}
 )
 
@@ -64,8 +66,7 @@
 		Complete: uint64(r.CompleteEpoch), Group: uint64(r.GroupEpoch),
 	})
 	if err != nil {
-		l.discardConn(conn)
-		return balsampier.Lease{}, decodeError("renew the lease", err)
+		return balsampier.Lease{}, decodeError("renew the lease at "+l.discardConn(conn), err)
 	}
 	return balsampier.Lease{
 		TTL:    time.Duration(a.GetTermNanos()),
@@ -85,8 +86,7 @@
 	}
 	_, err = peerpb.NewDRPCControlCommandClient(conn).Leave(l.key.withProof(c), &peerpb.LeaveRequest{Holder: encodeHolder(h)})
 	if err != nil {
-		l.discardConn(conn)
-		return decodeError("leave", err)
+		return decodeError("leave at "+l.discardConn(conn), err)
 	}
 	return nil
 }
@@ -107,13 +107,13 @@
 		Member: encodeMember(w.Member), Revision: uint64(w.Position.Revision), Epoch: uint64(w.Position.Epoch),
 	})
 	if err != nil {
-		return decodeError("watch", err)
+		return decodeError("watch "+a.String(), err)
 	}
 	defer func() { _ = s.Close() }()
 	for {
 		m, err := s.Recv()
 		if err != nil {
-			return decodeError("watch", err)
+			return decodeError("watch "+a.String(), err)
 		}
 		w, err := decodeWatchMessage(m)
 		if err != nil {
@@ -151,13 +151,13 @@
 		l.currentAddr = (l.currentAddr + 1) % len(l.addrs)
 		return nil, err
 	}
-	l.conn = conn
+	l.conn, l.connAddr = conn, a
 	return conn, nil
 }
 
 // discardConn closes a connection on which a call failed and switches to the
-// next instance.
-func (l *ControlClient) discardConn(conn drpc.Conn) {
+// next instance. It returns the address of the connection for the error.
+func (l *ControlClient) discardConn(conn drpc.Conn) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_ = conn.Close()
@@ -165,4 +165,5 @@
 		l.conn = nil
 	}
 	l.currentAddr = (l.currentAddr + 1) % len(l.addrs)
+	return l.connAddr.String()
 }
