fix: relays direct members to the replicas

Cause: a member knows control from its view, which a restart loses, and from its seeds. The seeds were three relays, which do not serve members ("unknown rpc") and had lost their own view. Everything that knew the replicas was gone but the replicas themselves. Change: what survives on disk finds what has no disk. A relay answers a watch with the replicas that it heard of, and the member goes there. Ruled out: a lost quorum (the leader stood 0.16 s after the start). TestRelayNamesReplicas and TestAnnounceTargets are new.

--- a/balsampier.go
+++ b/balsampier.go
@@ -22,6 +22,9 @@
 	RoleAgent
 	// RoleControl replicates the rule file and the membership view.
 	RoleControl
+	// RoleRelay is a control instance without a data folder, which directs
+	// callers to one that has one.
+	RoleRelay
 )
 
 // incarnationStep is the resolution of an Incarnation. At 250 ms, 32 bits
@@ -134,6 +137,8 @@
 		return "agent"
 	case RoleControl:
 		return "control"
+	case RoleRelay:
+		return "relay"
 	default:
 		return "unknown"
 	}
--- a/cmd/control/app/app.go
+++ b/cmd/control/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,8 @@
 		random balsampier.Random
 		// config is owned by the replicate thread.
 		config replicate.Config
+		// seeds are the instances of the newest settings; never nil.
+		seeds atomic.Pointer[[]balsampier.InstanceID]
 		// openFolder opens the data folder; tests replace it.
 		openFolder func(string, balsampier.Random) (balsampier.LogStore, balsampier.StoredLog, error)
 		// generation counts the openings of the data folder; it is owned by the
@@ -168,6 +171,8 @@
 	t.published.Store(&publishedState{changed: make(chan struct{})})
 	t.status.Store(t.closedStatus())
 	t.config = t.replicateConfig()
+	seeds := slices.Clone(t.config.Peers)
+	t.seeds.Store(&seeds)
 	if err := t.config.Check(); err != nil {
 		return nil, err
 	}
@@ -219,7 +224,7 @@
 		duty.New("serve links", t.serveLinks),
 	}
 	if t.instanceSettings.Documents {
-		ts = append(ts, duty.New("announce", t.renewOwnLease))
+		ts = append(ts, duty.New("announce", t.renewOwnLease), duty.New("announce to relays", t.announceToRelays))
 	}
 	return ts
 }
--- a/cmd/control/app/documents.go
+++ b/cmd/control/app/documents.go
@@ -100,6 +100,7 @@
 		t.log.Warn().Err(err).Msg("failed to apply the reloaded seeds")
 		return
 	}
+	t.seeds.Store(&ids)
 	t.log.Info().Str("seeds", fmt.Sprint(s.Seeds)).Msg("seeds reloaded")
 }
 
--- a/cmd/control/app/relay.go
+++ b/cmd/control/app/relay.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
+	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -19,8 +22,18 @@
 	"github.com/balsampier/balsampier/random"
 )
 
+const (
+	// replicaTTL is how long a relay names a replica after it last heard of it:
+	// several intervals between announcements.
+	replicaTTL = 10 * time.Second
+	// maxNamedReplicas bounds the replicas that a relay names: the log has at
+	// most nine.
+	maxNamedReplicas = 9
+)
+
 var (
 	_ peer.ReplicaHandler         = (*Relay)(nil)
+	_ peer.ControlHandler         = (*Relay)(nil)
 	_ balsampier.DocumentCommands = (*Relay)(nil)
 	_ balsampier.DocumentQueries  = (*Relay)(nil)
 )
@@ -35,6 +48,11 @@
 		session          *control.Session
 		member           balsampier.Member
 		links            *links
+		clock            balsampier.Clock
+
+		mu sync.Mutex
+		// heardAt is when each replica last announced itself to this relay.
+		heardAt map[netip.AddrPort]time.Time
 	}
 
 	// RelayDump is the state of a relay for operators.
@@ -49,13 +67,16 @@
 )
 
 func runRelay(s Settings, key peer.Key, opKey []byte, o net.Listener, ps *peer.Server) error {
-	r, err := newRelay(s, key)
+	r, err := newRelay(s, clock.System{}, key)
 	if err != nil {
 		return err
 	}
 	if err := ps.AddReplica(key, r); err != nil {
 		return err
 	}
+	if err := ps.AddControl(key, r); err != nil {
+		return err
+	}
 	h := operator.NewServer(o, opKey, r.Dump, r.Ready).AddLogLevel(r.log)
 	platform.DocumentHandler{Commands: r, Queries: r}.Register(h)
 	servers := append(r.session.Threads(), ps, h,
@@ -63,14 +84,14 @@
 	return process.Run(process.Program{Name: "control", Servers: servers, Logger: r.log})
 }
 
-func newRelay(s Settings, key peer.Key) (*Relay, error) {
-	k := clock.System{}
+func newRelay(s Settings, k balsampier.Clock, key peer.Key) (*Relay, error) {
 	r := &Relay{
+		clock: k, heardAt: make(map[netip.AddrPort]time.Time),
 		instanceSettings: s, log: process.NewLogger("control", s.Name, s.Level()), seeds: control.NewSeeds(s.Seeds, s.PeerAddr.Port()),
 		links: newLinks(key, balsampier.NewAddrInstanceID(s.PeerAddr), true),
 		member: balsampier.Member{
-			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleControl,
-			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre,
+			ID: balsampier.NewInstanceID(s.Name), Name: s.Name, Role: balsampier.RoleRelay,
+			Incarnation: balsampier.NewIncarnation(k.Now()), DataCentre: s.DataCentre, PeerAddr: s.PeerAddr,
 		},
 	}
 	var err error
@@ -113,14 +134,16 @@
 	return d
 }
 
-// Step implements peer.ReplicaHandler: it declines bootstrap votes and join
-// requests, because an instance without a disk cannot be a replica.
+// Step implements peer.ReplicaHandler: it remembers the sender as a replica and
+// declines bootstrap votes and join requests, because an instance without a disk
+// cannot be a replica.
 func (r *Relay) Step(c context.Context, ms []replicate.Message) error {
 	for _, m := range ms {
 		p, ok := r.links.getOrCreate(m.From.Instance)
 		if !ok || m.Kind != replicate.MessageBootstrapVote && m.Kind != replicate.MessageJoin {
 			continue
 		}
+		r.recordReplica(m.From.Instance.Addr())
 		x, cancel := context.WithTimeout(c, stepTimeout)
 		err := p.caller.Step(x, []replicate.Message{{
 			Kind: replicate.MessageDecline, From: balsampier.Replica{Instance: r.links.self}, To: m.From,
@@ -133,6 +156,62 @@
 	return nil
 }
 
+// recordReplica records that the replica at a announced itself. The own session
+// uses it too, as the seeds may all be relays.
+func (r *Relay) recordReplica(a netip.AddrPort) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	r.heardAt[a] = now
+	for k, at := range r.heardAt {
+		if now.Sub(at) > replicaTTL {
+			delete(r.heardAt, k)
+		}
+	}
+	r.mu.Unlock()
+	r.session.LearnInstances(r.replicas())
+}
+
+// replicas returns the replicas that announced themselves within replicaTTL,
+// sorted; without any, those of the view.
+func (r *Relay) replicas() []netip.AddrPort {
+	now := r.clock.Now()
+	var as []netip.AddrPort
+	r.mu.Lock()
+	for a, at := range r.heardAt {
+		if now.Sub(at) <= replicaTTL {
+			as = append(as, a)
+		}
+	}
+	r.mu.Unlock()
+	if len(as) == 0 {
+		as = r.session.ReplicaAddrs()
+	}
+	slices.SortFunc(as, netip.AddrPort.Compare)
+	return as[:min(len(as), maxNamedReplicas)]
+}
+
+// Watch implements peer.ControlHandler: it names the replicas to watch instead.
+func (r *Relay) Watch(_ context.Context, _ balsampier.WatchRequest, send func(balsampier.WatchMessage) error) error {
+	if as := r.replicas(); len(as) > 0 {
+		if err := send(balsampier.WatchMessage{Instances: as}); err != nil {
+			return err
+		}
+	}
+	return errRelay("watch")
+}
+
+// Renew implements peer.ControlHandler.
+func (r *Relay) Renew(context.Context, balsampier.Renewal) (balsampier.Lease, error) {
+	return balsampier.Lease{}, errRelay("renew the lease")
+}
+
+// Leave implements peer.ControlHandler.
+func (r *Relay) Leave(context.Context, balsampier.Holder) error { return errRelay("leave") }
+
+func errRelay(op string) error {
+	return balsampier.NewError(balsampier.KindUnavailable, op, "ask an instance with a data folder; a watch names them", nil)
+}
+
 // PassDigest implements peer.ReplicaHandler.
 func (r *Relay) PassDigest(context.Context, lease.Digest) (lease.Receipt, error) {
 	return lease.Receipt{}, errNotLeader()
--- /dev/null
+++ b/cmd/control/app/relay_test.go
@@ -0,0 +1,88 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/clock"
+	"github.com/balsampier/balsampier/command/replicate"
+	"github.com/balsampier/balsampier/peer"
+)
+
+// TestRelayNamesReplicas checks that a relay answers a watch with the replicas
+// that announced themselves lately. Guards against members whose seeds are all
+// relays and that find no replica.
+func TestRelayNamesReplicas(t *testing.T) {
+	a, b := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.2:1")
+	tests := []struct {
+		name string
+		// announced are the replicas that announce themselves, each of them gap
+		// before the next one or the watch.
+		announced []netip.AddrPort
+		gap       time.Duration
+		want      []netip.AddrPort
+	}{
+		{"none announced", nil, 0, nil},
+		{"two announced", []netip.AddrPort{b, a}, time.Second, []netip.AddrPort{a, b}},
+		{"the first has fallen silent", []netip.AddrPort{a, b}, replicaTTL/2 + time.Second, []netip.AddrPort{b}},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := Settings{Documents: true, PeerAddr: netip.MustParseAddrPort("127.0.0.9:1"), Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.9:1")}}
+			s.Name, s.LogLevel = "relay", "error"
+			k := clock.NewFake(time.Unix(1_000_000, 0))
+			r, err := newRelay(s, k, peer.NewKey([]byte(testKey)))
+			c.Assert(err, qt.IsNil)
+			for _, x := range v.announced {
+				// The sender does not listen, so that the reply to it fails.
+				_ = r.Step(context.Background(), []replicate.Message{{
+					Kind: replicate.MessageJoin, From: balsampier.Replica{Instance: balsampier.NewAddrInstanceID(x), Disk: 1},
+				}})
+				k.Advance(v.gap)
+			}
+			var got []netip.AddrPort
+			err = r.Watch(context.Background(), balsampier.WatchRequest{}, func(m balsampier.WatchMessage) error {
+				got = m.Instances
+				return nil
+			})
+			c.Assert(balsampier.KindOf(err), qt.Equals, balsampier.KindUnavailable)
+			c.Assert(fmt.Sprint(got), qt.Equals, fmt.Sprint(v.want))
+		})
+	}
+}
+
+// TestAnnounceTargets checks to which instances a replica announces itself.
+func TestAnnounceTargets(t *testing.T) {
+	relay := func(id balsampier.InstanceID) balsampier.Member {
+		return balsampier.Member{ID: 100 + id, Role: balsampier.RoleRelay, PeerAddr: id.Addr()}
+	}
+	tests := []struct {
+		name   string
+		voters []balsampier.InstanceID
+		seeds  []balsampier.InstanceID
+		view   []balsampier.Member
+		want   []balsampier.InstanceID
+	}{
+		{"the seeds are the replicas", []balsampier.InstanceID{1, 2, 3}, []balsampier.InstanceID{1, 2, 3}, nil, []balsampier.InstanceID{}},
+		{"a seed is no replica", []balsampier.InstanceID{1, 2, 3}, []balsampier.InstanceID{3, 4}, nil, []balsampier.InstanceID{4}},
+		{"a relay is no seed", []balsampier.InstanceID{1, 2}, []balsampier.InstanceID{1}, []balsampier.Member{relay(5)}, []balsampier.InstanceID{5}},
+		{"a relay is a seed", []balsampier.InstanceID{1, 2}, []balsampier.InstanceID{5}, []balsampier.Member{relay(5), relay(4)}, []balsampier.InstanceID{4, 5}},
+		{"other members", []balsampier.InstanceID{1}, []balsampier.InstanceID{1}, []balsampier.Member{{ID: 8, Role: balsampier.RoleAgent}, {ID: 9, Role: balsampier.RoleControl}}, []balsampier.InstanceID{}},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			var s balsampier.ReplicaSet
+			for _, i := range v.voters {
+				s.Voters = append(s.Voters, balsampier.Replica{Instance: i, Disk: 1})
+			}
+			qt.Assert(t, announceTargets(s, balsampier.View{Members: v.view}, v.seeds), qt.DeepEquals, v.want)
+		})
+	}
+}
--- a/control/session.go
+++ b/control/session.go
@@ -25,6 +25,10 @@
 	"github.com/balsampier/balsampier/query/inforce"
 )
 
+// maxLearned bounds the learned control instances: the log has at most nine
+// replicas.
+const maxLearned = 9
+
 type (
 	// State is the member's current knowledge of rules and membership.
 	State struct {
@@ -80,13 +84,16 @@
 		renewSignal chan struct{}
 
 		mu sync.Mutex
-		// ownLease, adoptedEpoch, follower and controlAddrs are guarded by mu.
+		// All fields below are guarded by mu.
 		ownLease *lease.MemberLease
 		// adoptedEpoch is the highest epoch that OnLease has returned.
 		adoptedEpoch balsampier.Epoch
 		follower     *follow.Follower
 		// controlAddrs are the addresses last passed to SetInstances.
 		controlAddrs []netip.AddrPort
+		// learnedAddrs are the replicas that the relay watched last named, at
+		// most maxLearned.
+		learnedAddrs []netip.AddrPort
 	}
 
 	// Status describes the member's session with control.
@@ -180,25 +187,31 @@
 	return []transport.Server{duty.New("renew lease", s.renew), duty.New("watch control", s.watch)}
 }
 
+// LearnInstances adds control instances that another one named to those of the
+// view and the seeds. They replace the ones learned before.
+func (s *Session) LearnInstances(as []netip.AddrPort) {
+	s.mu.Lock()
+	s.learnedAddrs = slices.Clone(as[:min(len(as), maxLearned)])
+	s.mu.Unlock()
+}
+
+// ReplicaAddrs returns the peer addresses of the replicas in the current view.
+func (s *Session) ReplicaAddrs() []netip.AddrPort { return controlAddrs(s.State().View) }
+
 // updateInstances replaces the control instances by those of the current view,
-// followed by the seeds that it lacks.
+// followed by the learned ones and the seeds that it lacks.
 func (s *Session) updateInstances() {
 	if s.o.Seeds == nil {
 		return
 	}
-	var as []netip.AddrPort
-	for _, m := range s.State().View.Members {
-		if m.Role == balsampier.RoleControl && m.PeerAddr.IsValid() {
-			as = append(as, m.PeerAddr)
-		}
-	}
-	for _, a := range s.o.Seeds() {
+	as := controlAddrs(s.State().View)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range slices.Concat(s.learnedAddrs, s.o.Seeds()) {
 		if !slices.Contains(as, a) {
 			as = append(as, a)
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if len(as) == 0 || slices.Equal(as, s.controlAddrs) {
 		return
 	}
@@ -208,6 +221,17 @@
 	s.o.Logger.Info().Int("instances", len(as)).Str("addresses", fmt.Sprint(as)).Msg("control instances updated")
 }
 
+// controlAddrs returns the peer addresses of the replicas in a view.
+func controlAddrs(v balsampier.View) []netip.AddrPort {
+	var as []netip.AddrPort
+	for _, m := range v.Members {
+		if m.Role == balsampier.RoleControl && m.PeerAddr.IsValid() {
+			as = append(as, m.PeerAddr)
+		}
+	}
+	return as
+}
+
 func compileRules(r balsampier.RuleFile) (*inforce.Table, error) {
 	f, ps := rulefile.Parse(r.Text)
 	if rulefile.HasErrors(ps) {
--- a/control/watch.go
+++ b/control/watch.go
@@ -102,6 +102,13 @@
 // handleMessage applies a message and publishes the resulting state if the
 // message changed it and the follower is ready.
 func (s *Session) handleMessage(m balsampier.WatchMessage) error {
+	if len(m.Instances) > 0 {
+		// A relay answered: the next stream and renewal go to a replica.
+		s.LearnInstances(m.Instances)
+		s.updateInstances()
+		s.RenewNow()
+		return nil
+	}
 	s.mu.Lock()
 	ch, err := s.follower.HandleMessage(m, s.o.Clock.Now())
 	n := State{Rules: s.follower.Rules(), View: s.follower.View()}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -68,6 +68,9 @@
 			p.View.Removed = append(p.View.Removed, uint64(i))
 		}
 	}
+	for _, a := range m.Instances {
+		p.Instances = append(p.Instances, encodeAddrPort(a))
+	}
 	return p, nil
 }
 
@@ -97,5 +100,10 @@
 			m.View.Delta.Removed = append(m.View.Delta.Removed, balsampier.InstanceID(i))
 		}
 	}
+	for _, b := range p.GetInstances() {
+		if a, ok := decodeAddrPort(b); ok {
+			m.Instances = append(m.Instances, a)
+		}
+	}
 	return m, nil
 }
--- a/query/members/interest.go
+++ b/query/members/interest.go
@@ -36,10 +36,12 @@
 
 // Includes reports whether the watcher receives m.
 func (i Interest) Includes(m balsampier.Member) bool {
-	if i.Everything || m.Role == balsampier.RoleControl {
+	switch {
+	case i.Everything || m.Role == balsampier.RoleControl:
 		return true
-	}
-	if m.Role == balsampier.RoleBalancer {
+	case m.Role == balsampier.RoleRelay:
+		return false
+	case m.Role == balsampier.RoleBalancer:
 		return i.Balancers && m.DataCentre == i.DataCentre
 	}
 	return i.Agents && (i.Service == "" || m.Service == i.Service) && (!i.Local || m.DataCentre == i.DataCentre)
--- a/query/members/summary.go
+++ b/query/members/summary.go
@@ -37,7 +37,7 @@
 			s.Balancers++
 		case balsampier.RoleAgent:
 			s.Agents++
-		case balsampier.RoleControl, balsampier.RoleUnknown:
+		case balsampier.RoleControl, balsampier.RoleRelay, balsampier.RoleUnknown:
 		}
 		if m.Draining {
 			s.Draining++
--- a/watch.go
+++ b/watch.go
@@ -1,5 +1,7 @@
 package balsampier
 
+import "net/netip"
+
 type (
 	// WatchMessage is a message of a watch stream. A message with neither Rules
 	// nor View is a heartbeat.
@@ -17,6 +19,10 @@
 		Rules *RulesPart
 		// View is nil if the message carries no part of a view.
 		View *ViewPart
+		// Instances are the peer addresses of control instances to watch
+		// instead. Only an instance that serves no watches sets them, in the
+		// only message of the stream.
+		Instances []netip.AddrPort
 	}
 
 	// RulesPart is one part of a RulesDelta that is sent in several messages.
