fix: count a lost leader as lost from its last message

What callers saw: nothing yet. Cause: a new leader took every replica as heard at its election, so that the leader before it, lost for good, stayed in the set for one election longer than another replica. Until then the set has a voter too many, and one more lost disk costs the quorum, later than the 4 s that a successor has to catch up. Why it works: the new leader knows when it heard the last one; the lease that a leader needs itself is still counted from its election.

--- a/command/replicate/append.go
+++ b/command/replicate/append.go
@@ -20,8 +20,12 @@
 		probing bool
 		// awaitsResponse is true while a probe or snapshot is in flight.
 		awaitsResponse bool
-		// lastHeard is when the last response of the replica arrived.
+		// lastHeard is when the last response of the replica arrived, or when
+		// this node began to track it.
 		lastHeard time.Time
+		// silentSince is lastHeard, or for a leader before this one when its
+		// last message arrived.
+		silentSince time.Time
 		// confirmedRead is the sequence number of the newest read that the
 		// replica has confirmed.
 		confirmedRead uint64
@@ -76,7 +80,7 @@
 	}
 	for _, r := range n.otherReplicas() {
 		if _, ok := n.peers[r]; !ok {
-			n.peers[r] = &progress{next: n.log.lastIndex() + 1, probing: true, lastHeard: n.now}
+			n.peers[r] = &progress{next: n.log.lastIndex() + 1, probing: true, lastHeard: n.now, silentSince: n.now}
 		}
 	}
 }
@@ -155,7 +159,7 @@
 	if n.role != RoleFollower {
 		n.becomeFollower(m.Term)
 	}
-	n.leader, n.leaderHeard = m.From, n.now
+	n.leader, n.lastLeader, n.leaderHeard = m.From, m.From, n.now
 	n.resetElectionTimeout()
 	a := Message{Kind: MessageAppendResponse, To: m.From, ReadSeq: m.ReadSeq}
 	if m.Kind == MessageInstallSnapshot {
@@ -227,7 +231,8 @@
 	if !ok {
 		return
 	}
-	p.lastHeard, p.confirmedRead, p.awaitsResponse = n.now, max(p.confirmedRead, m.ReadSeq), false
+	p.lastHeard, p.silentSince = n.now, n.now
+	p.confirmedRead, p.awaitsResponse = max(p.confirmedRead, m.ReadSeq), false
 	n.confirmReads()
 	if m.Reject {
 		if m.Index > p.match {
--- a/command/replicate/election.go
+++ b/command/replicate/election.go
@@ -161,6 +161,11 @@
 	n.peers, n.durableIndex = make(map[balsampier.Replica]*progress), 0
 	n.reads = pendingReads{seq: n.reads.seq}
 	n.updatePeers()
+	if p, ok := n.peers[n.lastLeader]; ok {
+		// The election must not prolong the time after which a lost leader is
+		// removed. One that lives has an election timeout to respond.
+		p.silentSince = maxTime(n.leaderHeard, n.now.Add(n.g.ElectionTimeout-n.g.ReplicaTimeout))
+	}
 	n.heartbeatDue = n.now
 	n.appendEntry(balsampier.Entry{Kind: balsampier.EntryEmpty})
 }
@@ -172,3 +177,10 @@
 		n.startElection(true)
 	}
 }
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/command/replicate/member.go
+++ b/command/replicate/member.go
@@ -82,7 +82,7 @@
 	var lost balsampier.Replica
 	for _, r := range n.otherReplicas() {
 		switch p := n.peers[r]; {
-		case n.now.Sub(p.lastHeard) >= n.g.ReplicaTimeout:
+		case n.now.Sub(p.silentSince) >= n.g.ReplicaTimeout:
 			lost = r
 		case n.set.HasVoter(r) && n.now.Sub(p.lastHeard) < n.g.ElectionTimeout:
 			responsive++
--- a/command/replicate/open_test.go
+++ b/command/replicate/open_test.go
@@ -97,6 +97,29 @@
 	return out
 }
 
+// TestLostLeaderIsReplaced checks that a leader that is lost for good leaves the
+// set as early as another replica would: one ReplicaTimeout after its last
+// message. Guards against a set that counts the lost leader longer than the time
+// that its successor has to catch up, so that the loss of a disk then costs the
+// quorum.
+func TestLostLeaderIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(60) {
+		s := newOpenSim(c, 4, seed)
+		l := s.leader()
+		s.crash(l, false)
+		s.join(true)
+		for s.leader() == l || s.leader() == nil {
+			s.run(1, 0, 0, 0)
+		}
+		elected := s.now
+		for slices.Contains(s.voterInstances(), l.id) {
+			s.run(1, 0, 0, 0)
+			c.Assert(s.now.Sub(elected) < 2*testElectionTimeout, qt.IsTrue, qt.Commentf("seed %d", seed))
+		}
+	}
+}
+
 // TestSilentVoterRejoins checks that a voter that was partitioned for a long
 // time is removed, and joins again with the same disk when it returns.
 func TestSilentVoterRejoins(t *testing.T) {
--- a/command/replicate/replicate.go
+++ b/command/replicate/replicate.go
@@ -125,8 +125,10 @@
 
 		// electionDue is when the election timeout expires.
 		electionDue time.Time
-		// leaderHeard is when the last message of the leader arrived.
+		// leaderHeard is when the last message of a leader arrived, which was
+		// lastLeader.
 		leaderHeard time.Time
+		lastLeader  balsampier.Replica
 		// heartbeatDue is when the next heartbeat, or a blank node's next
 		// announcement, must be sent.
 		heartbeatDue time.Time
