fix: a blank instance joins although its seeds are no replicas

What callers saw: nothing at once; after the next lost disk no instance returned the acknowledged document any more. Cause: an instance that lost its disk announces itself to its seeds. Relays declined, which took them off the list, as at the first start, and the list was empty for good: it came back only with seeds from the operator. Messages that the leader sent to the lost disk were dropped unread. Change: only an instance that may bootstrap a log drops a seed that declines; a relay names the replicas that it heard of when it declines; the sender of a message to an earlier disk is a replica to announce to; replicas named by several senders add up. TestRelayReplies is new.

--- a/cmd/control/app/relay.go
+++ b/cmd/control/app/relay.go
@@ -145,9 +145,7 @@
 		}
 		r.recordReplica(m.From.Instance.Addr())
 		x, cancel := context.WithTimeout(c, stepTimeout)
-		err := p.caller.Step(x, []replicate.Message{{
-			Kind: replicate.MessageDecline, From: balsampier.Replica{Instance: r.links.self}, To: m.From,
-		}})
+		err := p.caller.Step(x, r.repliesTo(m.From))
 		cancel()
 		if err != nil {
 			return err
@@ -156,6 +154,23 @@
 	return nil
 }
 
+// repliesTo returns the replies to a replica: the relay declines, and names the
+// other replicas that it knows, so that a blank one finds them.
+func (r *Relay) repliesTo(to balsampier.Replica) []replicate.Message {
+	self := balsampier.Replica{Instance: r.links.self}
+	ms := []replicate.Message{{Kind: replicate.MessageDecline, From: self, To: to}}
+	var others []balsampier.InstanceID
+	for _, a := range r.replicas() {
+		if i := balsampier.NewAddrInstanceID(a); i != to.Instance {
+			others = append(others, i)
+		}
+	}
+	if len(others) > 0 {
+		ms = append(ms, replicate.Message{Kind: replicate.MessagePeers, From: self, To: to, Peers: others})
+	}
+	return ms
+}
+
 // recordReplica records that the replica at a announced itself. The own session
 // uses it too, as the seeds may all be relays.
 func (r *Relay) recordReplica(a netip.AddrPort) {
--- a/cmd/control/app/relay_test.go
+++ b/cmd/control/app/relay_test.go
@@ -35,11 +35,8 @@
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
 			c := qt.New(t)
-			s := Settings{Documents: true, PeerAddr: netip.MustParseAddrPort("127.0.0.9:1"), Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.9:1")}}
-			s.Name, s.LogLevel = "relay", "error"
 			k := clock.NewFake(time.Unix(1_000_000, 0))
-			r, err := newRelay(s, k, peer.NewKey([]byte(testKey)))
-			c.Assert(err, qt.IsNil)
+			r := newTestRelay(c, k)
 			for _, x := range v.announced {
 				// The sender does not listen, so that the reply to it fails.
 				_ = r.Step(context.Background(), []replicate.Message{{
@@ -48,7 +45,7 @@
 				k.Advance(v.gap)
 			}
 			var got []netip.AddrPort
-			err = r.Watch(context.Background(), balsampier.WatchRequest{}, func(m balsampier.WatchMessage) error {
+			err := r.Watch(context.Background(), balsampier.WatchRequest{}, func(m balsampier.WatchMessage) error {
 				got = m.Instances
 				return nil
 			})
@@ -86,3 +83,44 @@
 		})
 	}
 }
+
+// TestRelayReplies checks that a relay declines a replica and names the others
+// to it. Guards against blank instances that find no replica to join.
+func TestRelayReplies(t *testing.T) {
+	a, b := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.2:1")
+	tests := []struct {
+		name      string
+		announced []netip.AddrPort
+		want      []replicate.MessageKind
+		named     []balsampier.InstanceID
+	}{
+		{"no other replica", []netip.AddrPort{a}, []replicate.MessageKind{replicate.MessageDecline}, nil},
+		{"another replica", []netip.AddrPort{a, b}, []replicate.MessageKind{replicate.MessageDecline, replicate.MessagePeers}, []balsampier.InstanceID{balsampier.NewAddrInstanceID(b)}},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newTestRelay(c, clock.NewFake(time.Unix(1_000_000, 0)))
+			for _, x := range v.announced {
+				r.recordReplica(x)
+			}
+			var kinds []replicate.MessageKind
+			var named []balsampier.InstanceID
+			for _, m := range r.repliesTo(balsampier.Replica{Instance: balsampier.NewAddrInstanceID(a), Disk: 1}) {
+				kinds, named = append(kinds, m.Kind), append(named, m.Peers...)
+			}
+			c.Assert(kinds, qt.DeepEquals, v.want)
+			c.Assert(named, qt.DeepEquals, v.named)
+		})
+	}
+}
+
+// newTestRelay returns a relay whose only seed is itself.
+func newTestRelay(c *qt.C, k balsampier.Clock) *Relay {
+	a := netip.MustParseAddrPort("127.0.0.9:1")
+	s := Settings{Documents: true, PeerAddr: a, Seeds: []netip.AddrPort{a}}
+	s.Name, s.LogLevel = "relay", "error"
+	r, err := newRelay(s, k, peer.NewKey([]byte(testKey)))
+	c.Assert(err, qt.IsNil)
+	return r
+}
--- a/command/replicate/bootstrap.go
+++ b/command/replicate/bootstrap.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// learnVoters adds instances to the known voters and drops the oldest ones above
+// maxReplicas. Several senders may each know a part of the voters.
+func (n *Node) learnVoters(is ...balsampier.InstanceID) {
+	old := slices.DeleteFunc(n.knownVoters, func(i balsampier.InstanceID) bool { return slices.Contains(is, i) })
+	n.knownVoters = slices.Concat(is, old)
+	n.knownVoters = n.knownVoters[:min(len(n.knownVoters), maxReplicas)]
+}
+
 // announceDisk sends this replica's disk to all known instances, so that a
 // leader whose replica set lacks the disk can add it.
 func (n *Node) announceDisk() {
@@ -66,10 +74,11 @@
 	}
 }
 
-// removeSeed removes an instance from the first replica set of a blank node,
-// after it reported that it has no disk and will never be a replica.
+// removeSeed removes an instance from the first replica set of a blank node that
+// may bootstrap a log, after it reported that it has no disk and will never be a
+// replica. A node that only joins keeps it: it may know the replicas.
 func (n *Node) removeSeed(i balsampier.InstanceID) {
-	if n.g.OpenMembership && n.isBlank() && n.hard.Term == 0 {
+	if n.g.OpenMembership && !n.g.JoinOnly && n.isBlank() && n.hard.Term == 0 {
 		n.g.Peers = slices.DeleteFunc(n.g.Peers, func(p balsampier.InstanceID) bool { return p == i })
 	}
 }
@@ -82,7 +91,7 @@
 	case MessageDecline:
 		n.removeSeed(m.From.Instance)
 	case MessagePeers:
-		n.knownVoters = m.Peers[:min(len(m.Peers), maxReplicas)]
+		n.learnVoters(m.Peers...)
 	case MessageJoin:
 		n.handleJoin(m.From)
 	case MessageBootstrapVote:
--- a/command/replicate/message.go
+++ b/command/replicate/message.go
@@ -31,7 +31,8 @@
 	MessageInstallSnapshot
 	// MessageTransfer asks the receiver to start an election immediately.
 	MessageTransfer
-	// MessagePeers replies to MessageJoin with the instances of the voters.
+	// MessagePeers replies to MessageJoin with the instances of the voters, or
+	// from an instance without a disk with the replicas that it knows.
 	MessagePeers
 	// MessageDecline reports that the sender has no disk and will not become a
 	// replica.
--- a/command/replicate/open_test.go
+++ b/command/replicate/open_test.go
@@ -165,6 +165,55 @@
 	c.Assert(s.voterInstances(), qt.DeepEquals, []balsampier.InstanceID{1, 2})
 }
 
+// TestBlankInstanceJoins checks that an instance with a new disk joins again
+// although no seed is a replica. Guards against instances that stay blank for
+// good, so that the next loss of a disk loses the quorum.
+func TestBlankInstanceJoins(t *testing.T) {
+	tests := []struct {
+		name string
+		// declines is true if the seed is an instance without a disk that
+		// declines; otherwise it is down.
+		declines bool
+		// names is true if the seed names a replica when it declines.
+		names bool
+		// removed is true if the lost disk has left the set before the
+		// instance starts again, so that no replica sends messages to it.
+		removed bool
+	}{
+		{"the seed is down", false, false, false},
+		{"the seed declines", true, false, false},
+		{"the seed names a replica", true, true, true},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newOpenSim(c, 4, 11)
+			lost := s.nodes[3]
+			s.loseDisk(lost)
+			seed := s.join(true)
+			s.crash(seed, false)
+			if v.removed {
+				s.run(60, 0, 0, 0)
+				c.Assert(s.voterInstances(), qt.DeepEquals, []balsampier.InstanceID{1, 2, 3})
+			}
+			s.seeds = []balsampier.InstanceID{seed.id}
+			lost.joinOnly = true
+			s.start(lost)
+			for range 80 {
+				from, to := balsampier.Replica{Instance: seed.id}, balsampier.Replica{Instance: lost.id}
+				if v.declines {
+					lost.n.Step(Message{Kind: MessageDecline, From: from, To: to})
+				}
+				if v.names {
+					lost.n.Step(Message{Kind: MessagePeers, From: from, To: to, Peers: []balsampier.InstanceID{2}})
+				}
+				s.run(1, 0, 0, 0)
+			}
+			c.Assert(s.voterInstances(), qt.DeepEquals, []balsampier.InstanceID{1, 2, 3, 4})
+		})
+	}
+}
+
 // TestJoinOnlyDoesNotBootstrap checks that blank join-only instances do not
 // bootstrap a log.
 func TestJoinOnlyDoesNotBootstrap(t *testing.T) {
--- a/command/replicate/replicate.go
+++ b/command/replicate/replicate.go
@@ -106,8 +106,9 @@
 	Node struct {
 		g  Config
 		id balsampier.Replica
-		// knownVoters are the instances of the voters, as last reported by a
-		// MessagePeers.
+		// knownVoters are instances reported as voters by a MessagePeers, or
+		// whose messages to an earlier disk show that they are; newest first,
+		// at most maxReplicas.
 		knownVoters []balsampier.InstanceID
 		// now is the latest time passed to Tick and never decreases.
 		now  time.Time
@@ -292,7 +293,15 @@
 // Step handles a received message. It drops messages that are addressed to
 // another instance or to another disk of this instance.
 func (n *Node) Step(m Message) {
-	if m.To.Instance != n.id.Instance || (m.To.Disk != 0 && m.To.Disk != n.id.Disk) || m.From.IsZero() {
+	if m.To.Instance != n.id.Instance || m.From.IsZero() {
+		return
+	}
+	if m.To.Disk != 0 && m.To.Disk != n.id.Disk {
+		// The sender's replica set has an earlier disk of this instance: it can
+		// admit the new one even if no seed knows a replica.
+		if n.isBlank() {
+			n.learnVoters(m.From.Instance)
+		}
 		return
 	}
 	if n.stepBootstrap(m) {
