fix: an instance that lost its disk reports no leader before its calls fail

What callers saw: a change sent right after another one failed was refused with notLeader, although the instance had just reported ready. Cause: closeReplica failed the pending proposals before it stored the closed status. Change: the status first.

--- a/cmd/control/app/store.go
+++ b/cmd/control/app/store.go
@@ -117,9 +117,13 @@
 	return t.committed.Push(c, applyInput{reset: true})
 }
 
-// closeReplica fails all pending proposals and reads and removes the replica.
+// closeReplica removes the replica and fails all pending proposals and reads. The
+// status comes first, so that a caller whose call failed does not find the
+// instance still ready.
 func (t *Control) closeReplica() {
 	r := &t.replica
+	r.node = nil
+	t.status.Store(t.closedStatus())
 	for x, p := range r.proposals {
 		p.outcome <- outcome{err: balsampier.NewError(balsampier.KindUnknown, "propose", "retry with the same ID", nil)}
 		delete(r.proposals, x)
@@ -128,8 +132,6 @@
 		a <- readResult{err: errNotLeader()}
 		delete(r.reads, k)
 	}
-	r.node = nil
-	t.status.Store(t.closedStatus())
 }
 
 // closedStatus returns the status while the data folder is not open.
--- a/cmd/control/app/store_test.go
+++ b/cmd/control/app/store_test.go
@@ -74,6 +74,7 @@
 	}
 	full.Store(true)
 	c.Assert(d.Put(x, balsampier.Document{Version: 4, Text: "routes"}), qt.IsNotNil)
+	c.Assert(d.Ready(), qt.IsNotNil)
 	full.Store(false)
 	d.waitReady(c)
 	c.Assert(d.Put(x, balsampier.Document{Version: 5, Text: "newer"}), qt.IsNil)
