--- a/cmd/agent/datagram/agent.go
+++ b/cmd/agent/datagram/agent.go
@@ -44,6 +44,10 @@
 	// maxKnownBalancers bounds the balancers that get a shutdown notice. It
 	// exceeds the number of balancers in a fleet of 1,200.
 	maxKnownBalancers = 2048
+	// maxClockError is how far the start of a server may be ahead of the
+	// agent's clock. Later starts are refused: they would hide all heartbeats of
+	// the real server.
+	maxClockError = time.Hour
 	// serverMessageTimeout bounds the wait until the flow thread has handled a
 	// message of the server.
 	serverMessageTimeout = 800 * time.Millisecond
--- a/cmd/agent/datagram/agent_test.go
+++ b/cmd/agent/datagram/agent_test.go
@@ -121,6 +121,8 @@
 func TestHeartbeats(t *testing.T) {
 	other := newServerState("x", false, 1)
 	other.Addr = balancer
+	late := newServerState("x", true, 1)
+	late.ID, late.Born = "i-2", time.Date(2199, time.January, 1, 0, 0, 0, 0, time.UTC)
 	tests := []struct {
 		name     string
 		states   []balsampier.ServerState
@@ -131,6 +133,8 @@
 		{"draining", []balsampier.ServerState{newServerState("x", false, 1), newServerState("x", true, 2)}, 0, true},
 		{"of another service", []balsampier.ServerState{newServerState("y", false, 1)}, balsampier.KindInvalid, true},
 		{"of another address", []balsampier.ServerState{other}, balsampier.KindInvalid, true},
+		{"started in the far future", []balsampier.ServerState{late}, balsampier.KindInvalid, true},
+		{"after one from the far future", []balsampier.ServerState{late, newServerState("x", false, 1)}, 0, false},
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
--- a/cmd/agent/datagram/flows.go
+++ b/cmd/agent/datagram/flows.go
@@ -129,8 +129,8 @@
 		return
 	}
 	h := *s.heartbeat
-	if h.Service != a.options.Service || h.Addr != a.options.ServerAddr {
-		a.log.Warn().Str("server", h.ID).Str("service", string(h.Service)).Str("address", h.Addr.String()).Msg("heartbeat from an unexpected server")
+	if h.Service != a.options.Service || h.Addr != a.options.ServerAddr || h.Born.After(a.options.Clock.Now().Add(maxClockError)) {
+		a.log.Warn().Str("server", h.ID).Str("service", string(h.Service)).Str("address", h.Addr.String()).Time("born", h.Born).Msg("heartbeat from an unexpected server")
 		s.done <- balsampier.NewError(balsampier.KindInvalid, "accept heartbeat", "send it to the agent beside the server", nil)
 		return
 	}
