fix: a relay directs operators to the instance that it follows

What callers saw: a relay could redirect a change to an instance that it does not follow, another relay or one that is down. Cause: the followed instance was looked up by its index in the list of control instances, and the list changes with the view while the stream stays. Change: the session keeps the address of its stream.

--- a/control/session.go
+++ b/control/session.go
@@ -91,6 +91,10 @@
 		follower     *follow.Follower
 		// controlAddrs are the addresses last passed to SetInstances.
 		controlAddrs []netip.AddrPort
+		// watchedAddr is the address of the newest stream; invalid if the
+		// control instances are configured. The index of the stream does not
+		// tell it, because the addresses may change meanwhile.
+		watchedAddr netip.AddrPort
 		// learnedAddrs are the replicas that the relay watched last named, at
 		// most maxLearned.
 		learnedAddrs []netip.AddrPort
@@ -167,10 +171,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.follower.Status(s.o.Clock.Now())
-	if f.State != follow.StateFollowing || len(s.controlAddrs) == 0 {
-		return a, false
-	}
-	return s.controlAddrs[f.ControlIndex%len(s.controlAddrs)], true
+	return s.watchedAddr, f.State == follow.StateFollowing && s.watchedAddr.IsValid()
 }
 
 // RenewNow requests an immediate renewal, for example after the member has
--- a/control/watch.go
+++ b/control/watch.go
@@ -31,6 +31,9 @@
 		s.mu.Lock()
 		t := s.o.Clock.Now()
 		n, due := s.follower.Connect(t)
+		if due && len(s.controlAddrs) > 0 {
+			s.watchedAddr = s.controlAddrs[n.ControlIndex%len(s.controlAddrs)]
+		}
 		d := s.follower.NextDeadline().Sub(t)
 		s.mu.Unlock()
 		if !due {
