fix: an instance without a log refuses members at once

What callers saw: after a power loss a member that reached a control instance with a blank disk waited there, 1.5 s for its watch and 3 s for its renewal, each time it came by. Cause: the instance held the calls, although it cannot tell when it will join. Change: it refuses them until it has a log.

--- a/cmd/control/app/handler.go
+++ b/cmd/control/app/handler.go
@@ -9,8 +9,12 @@
 	"github.com/balsampier/balsampier/ring"
 )
 
-// Renew implements peer.ControlHandler.
+// Renew implements peer.ControlHandler. An instance without a log refuses at once,
+// because it cannot tell when it will have one.
 func (t *Control) Renew(c context.Context, r balsampier.Renewal) (balsampier.Lease, error) {
+	if t.status.Load().Blank {
+		return balsampier.Lease{}, errNoLeader()
+	}
 	n := &renewal{
 		report: lease.Report{
 			Member: r.Member, AppliedRevision: r.AppliedRevision, AcknowledgedEpoch: r.AcknowledgedEpoch, CompleteEpoch: t.uncommittedCompletion(r),
--- a/cmd/control/app/store_test.go
+++ b/cmd/control/app/store_test.go
@@ -34,10 +34,10 @@
 }
 
 // startDocumentControl runs a single control instance with documents until the
-// test ends.
-func startDocumentControl(c *qt.C, full *atomic.Bool) *Control {
+// test ends. A joining one stays blank.
+func startDocumentControl(c *qt.C, full *atomic.Bool, joining bool) *Control {
 	a := addrOf(listen(c))
-	s := Settings{Documents: true, PeerAddr: a, DataFolder: c.TempDir(), ElectionTimeout: minElectionTimeout}
+	s := Settings{Documents: true, Joining: joining, PeerAddr: a, DataFolder: c.TempDir(), ElectionTimeout: minElectionTimeout}
 	s.Seeds = append(s.Seeds, a)
 	s.Name, s.LogLevel = "control-1", "error"
 	s.SetDefaults()
@@ -60,7 +60,7 @@
 func TestDiskLost(t *testing.T) {
 	c := qt.New(t)
 	var full atomic.Bool
-	d := startDocumentControl(c, &full)
+	d := startDocumentControl(c, &full, false)
 	d.waitReady(c)
 	x := context.Background()
 	for i := range 3 {
@@ -178,3 +178,18 @@
 		w.Wait()
 	})
 }
+
+// TestBlankInstanceRefuses checks that an instance that has not joined yet refuses
+// members at once. Guards against members that wait for a blank instance until
+// their calls time out, while others could serve them.
+func TestBlankInstanceRefuses(t *testing.T) {
+	c := qt.New(t)
+	d := startDocumentControl(c, new(atomic.Bool), true)
+	x, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := d.Renew(x, balsampier.Renewal{Member: balsampier.Member{ID: 9, Role: balsampier.RoleAgent}})
+	c.Check(balsampier.KindOf(err), qt.Equals, balsampier.KindUnavailable)
+	err = d.Watch(x, balsampier.WatchRequest{}, func(balsampier.WatchMessage) error { return nil })
+	c.Check(balsampier.KindOf(err), qt.Equals, balsampier.KindUnavailable)
+	c.Check(x.Err(), qt.IsNil)
+}
--- a/cmd/control/app/watch.go
+++ b/cmd/control/app/watch.go
@@ -84,8 +84,12 @@
 	return c.Err()
 }
 
-// Watch implements peer.ControlHandler.
+// Watch implements peer.ControlHandler. An instance without a log refuses at once,
+// because it cannot tell when it will have one.
 func (t *Control) Watch(c context.Context, w balsampier.WatchRequest, send func(balsampier.WatchMessage) error) error {
+	if t.status.Load().Blank {
+		return errNoLeader()
+	}
 	startedAt := t.clock.Now()
 	t.requestConfirmation()
 	b := members.NewPublisher(members.InterestOf(w.Member, t.instanceSettings.LocalAgents), peer.Sizes(), t.instanceSettings.WatchBudget, w.Position, startedAt)
