fix: an instance reaches new ones however many it has known

What callers saw: nothing yet. Cause: links to other control instances were never closed, and above 64 no new one was made: a long run among instances that are replaced could not reach the newest ones any more, until its restart. Announcements to relays would get there sooner. Change: above 64 the link used least recently is closed; a round of announcements goes to at most 32 relays, the next one to others.

--- a/cmd/control/app/announce.go
+++ b/cmd/control/app/announce.go
@@ -9,19 +9,24 @@
 	"github.com/balsampier/balsampier/command/replicate"
 )
 
-// announceInterval is the time between two announcements to the same relay. It
-// is a fraction of the time in which members must find control after all
-// processes lost their state.
-const announceInterval = 500 * time.Millisecond
+const (
+	// announceInterval is the time between two rounds of announcements. It is a
+	// fraction of the time in which members must find control after all
+	// processes lost their state.
+	announceInterval = 500 * time.Millisecond
+	// maxAnnounced bounds the announcements of one round, so that the links to
+	// relays never displace those to replicas.
+	maxAnnounced = maxLinks / 2
+)
 
 // announceToRelays is the thread that announces this replica to the relays, so
 // that they can direct to it members whose seeds are relays. The relays are
 // those in the view, which survives on disk, and the seeds outside the replica
 // set.
 func (t *Control) announceToRelays(c context.Context) error {
-	for c.Err() == nil {
+	for round := 0; c.Err() == nil; round++ {
 		if s := t.status.Load(); !s.Blank {
-			for _, i := range announceTargets(s.Set, t.published.Load().view, *t.seeds.Load()) {
+			for _, i := range targetsOfRound(announceTargets(s.Set, t.published.Load().view, *t.seeds.Load()), round) {
 				if p, ok := t.links.getOrCreate(i); ok {
 					_ = p.out.Push(c, replicate.Message{Kind: replicate.MessageJoin, From: s.Self, To: balsampier.Replica{Instance: i}})
 				}
@@ -47,3 +52,11 @@
 	}
 	return slices.DeleteFunc(slices.Compact(is), isReplica)
 }
+
+// targetsOfRound returns at most maxAnnounced of the targets, so that consecutive
+// rounds cover all.
+func targetsOfRound(is []balsampier.InstanceID, round int) []balsampier.InstanceID {
+	rounds := max((len(is)+maxAnnounced-1)/maxAnnounced, 1)
+	first := round % rounds * maxAnnounced
+	return is[first:min(first+maxAnnounced, len(is))]
+}
--- a/cmd/control/app/links.go
+++ b/cmd/control/app/links.go
@@ -13,7 +13,8 @@
 
 const (
 	// maxLinks bounds the links to other control instances: at most nine
-	// replicas, plus the instances that replaced lost ones during one run.
+	// replicas, and the relays. Above it the link that was used least recently
+	// is closed, because instances are replaced during a run.
 	maxLinks = 64
 	// linkRingDepth is the number of messages queued for one instance.
 	linkRingDepth = 512
@@ -25,6 +26,9 @@
 		name   string
 		caller *peer.InstanceClient
 		out    *ring.Ring[replicate.Message]
+		// usedAt counts the uses of all links up to the last use of this one; it
+		// is guarded by mu of links.
+		usedAt uint64
 	}
 
 	// links holds the links to the other control instances. It is safe for
@@ -41,6 +45,8 @@
 		mu sync.Mutex
 		// byID has at most maxLinks entries and never contains self.
 		byID map[balsampier.InstanceID]*peerLink
+		// uses counts the uses of all links.
+		uses uint64
 	}
 )
 
@@ -52,18 +58,42 @@
 }
 
 // getOrCreate returns the link to an instance and creates it if the membership
-// is open. ok is false for the own ID, for unknown IDs, and when maxLinks is
-// reached.
+// is open. ok is false for the own ID and for unknown IDs.
 func (l *links) getOrCreate(i balsampier.InstanceID) (p *peerLink, ok bool) {
 	if i == l.self || i == 0 {
 		return nil, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p, ok = l.byID[i]; ok || !l.openMembership || len(l.byID) >= maxLinks {
+	l.uses++
+	if p, ok = l.byID[i]; ok || !l.openMembership {
+		if ok {
+			p.usedAt = l.uses
+		}
 		return p, ok
 	}
-	return l.add(i, i.Addr().String(), i.Addr()), true
+	if len(l.byID) >= maxLinks {
+		l.closeOldest()
+	}
+	p = l.add(i, i.Addr().String(), i.Addr())
+	p.usedAt = l.uses
+	return p, true
+}
+
+// closeOldest closes the link that was used least recently, which ends its sender
+// thread. The caller holds mu.
+func (l *links) closeOldest() {
+	var oldest balsampier.InstanceID
+	for i, p := range l.byID {
+		if oldest == 0 || p.usedAt < l.byID[oldest].usedAt {
+			oldest = i
+		}
+	}
+	p := l.byID[oldest]
+	delete(l.byID, oldest)
+	ring.Unregister(p.out)
+	p.out.Close()
+	p.caller.Close()
 }
 
 // addConfigured creates the link to an instance that is listed in the settings.
@@ -81,7 +111,8 @@
 	}
 	l.byID[i] = p
 	ring.Register(p.out)
-	// The ring holds maxLinks links, so the push never drops one.
+	// Links are added one at a time and started at once, so that the ring never
+	// fills up.
 	_ = l.added.Push(context.Background(), p)
 	return p
 }
--- a/cmd/control/app/relay_test.go
+++ b/cmd/control/app/relay_test.go
@@ -124,3 +124,24 @@
 	c.Assert(err, qt.IsNil)
 	return r
 }
+
+// TestTargetsOfRound checks that the rounds cover all targets and stay small.
+func TestTargetsOfRound(t *testing.T) {
+	tests := []struct {
+		name            string
+		targets, rounds int
+	}{{"none", 0, 1}, {"one", 1, 1}, {"a full round", maxAnnounced, 1}, {"two and a half rounds", 5 * maxAnnounced / 2, 3}}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			c := qt.New(t)
+			is := make([]balsampier.InstanceID, v.targets)
+			seen := 0
+			for r := range v.rounds {
+				n := len(targetsOfRound(is, 7*v.rounds+r))
+				c.Assert(n <= maxAnnounced, qt.IsTrue)
+				seen += n
+			}
+			c.Assert(seen, qt.Equals, v.targets)
+		})
+	}
+}
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -217,3 +217,9 @@
 		return float64(r.Stats().Overflows)
 	})
 }
+
+// Unregister removes the metrics of a ring that is closed.
+func Unregister[T any](r *Ring[T]) {
+	metrics.UnregisterMetric(fmt.Sprintf("balsampier_ring_depth{ring=%q}", r.name))
+	metrics.UnregisterMetric(fmt.Sprintf("balsampier_ring_overflows_total{ring=%q}", r.name))
+}
