test: every seed of the soak ends with a power loss during other faults

Cause: no run of the soak lost power while something else was half done, and the check of the recovery passed at once, since it counted the requests of the whole run: "the fleet after the faults: serving after 0s". "all control killed" excludes other faults on the same process, so that none starts while its disk is deleted.

--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -66,6 +66,8 @@
 			for _, x := range w.all[:controls] {
 				d := r.IntN(400)
 				g.Go(func() {
+					x.faultMu.Lock()
+					defer x.faultMu.Unlock()
 					w.terminate(x, syscall.SIGKILL)
 					time.Sleep(time.Duration(d) * time.Millisecond)
 					w.start(x)
@@ -196,22 +198,27 @@
 }
 
 // waitUntilServing waits until at least 20 requests succeed in a second and at
-// most a tenth as many fail, and logs how long that took. The test fails if it
-// takes longer than within.
+// most a tenth as many fail, and logs how long that took. Requests that ended
+// before do not count. The test fails if it takes longer than within.
 func (w *world) waitUntilServing(within time.Duration, what string) {
 	t := time.Now()
-	for succeeded, failed := w.tally(); succeeded < 20 || failed*10 > succeeded; succeeded, failed = w.tally() {
+	w.tally()
+	for {
+		time.Sleep(time.Second)
+		succeeded, failed := w.tally()
+		if succeeded >= 20 && failed*10 <= succeeded {
+			break
+		}
 		if time.Since(t) > within {
 			w.Errorf("%s: %d of %d requests served in the last second, after %v", what, succeeded, succeeded+failed, within)
 			return
 		}
-		time.Sleep(time.Second)
 	}
 	w.Logf("%s: serving after %v", what, time.Since(t).Round(100*time.Millisecond))
 }
 
-// injectFaults injects random faults that may overlap, waits for their end, and
-// checks that the fleet recovers.
+// injectFaults injects random faults that may overlap, ends with a power loss of
+// all processes while some of them last, and checks that the fleet recovers.
 func (w *world) injectFaults(c context.Context) {
 	var g sync.WaitGroup
 	for t := time.Now(); time.Since(t) < *faultDuration; {
@@ -227,7 +234,9 @@
 		w.readDocument(c)
 		time.Sleep(time.Duration(50+w.random.IntN(600)) * time.Millisecond)
 	}
+	w.losePowerDuringFaults()
 	g.Wait()
+	w.returnPower()
 	w.waitUntilServing(recoveryTimeout, "the fleet after the faults")
 	w.submitDocument(c)
 	time.Sleep(applyWindow)
--- a/soak/fleet/recovery_test.go
+++ b/soak/fleet/recovery_test.go
@@ -42,6 +42,46 @@
 	}
 }
 
+// losePowerDuringFaults kills all processes and servers at once while other
+// faults may be half done. The seeds are the relays from then on in half of the
+// cases, and one disk is lost if no other one is.
+func (w *world) losePowerDuringFaults() {
+	w.setRelaySeeds(w.random.IntN(2) == 0)
+	lost := w.all[w.random.IntN(controls)]
+	for _, s := range w.servers {
+		s.crash()
+	}
+	for _, x := range w.all {
+		x.signal(syscall.SIGKILL)
+	}
+	if !w.diskFaultMu.TryLock() {
+		return
+	}
+	defer w.diskFaultMu.Unlock()
+	if !lost.faultMu.TryLock() {
+		return
+	}
+	defer lost.faultMu.Unlock()
+	w.terminate(lost, syscall.SIGKILL)
+	w.wipeData(lost)
+}
+
+// returnPower starts what does not run, with settings written anew.
+func (w *world) returnPower() {
+	for _, x := range w.all {
+		x.mu.Lock()
+		up := x.running()
+		x.mu.Unlock()
+		if !up {
+			w.configure(x, true)
+			w.start(x)
+		}
+	}
+	for _, s := range w.servers {
+		s.restart()
+	}
+}
+
 // readAcknowledged waits until a control instance returns the document, whose
 // version readDocument checks.
 func (w *world) readAcknowledged(c context.Context, what string) {
