test: the soak's first document waits for the first leader

Cause: submitDocument gives up after 20 quick refusals, about 3 s, and nothing sends another first document; the bound of a new fleet is 15 s. Change: the first document is sent until it is acknowledged or the bound is reached. The check and the bound stay.

--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -187,7 +187,10 @@
 		s.start()
 	}
 	go w.router.probeBalancers(c)
-	w.submitDocument(c)
+	// The first leader may stand later than submitDocument retries.
+	for end := time.Now().Add(startTimeout); !w.submitDocument(c) && time.Now().Before(end); {
+		continue
+	}
 	for i := range clients {
 		go newClient(w, i).run(c)
 	}
--- a/soak/fleet/world_test.go
+++ b/soak/fleet/world_test.go
@@ -225,8 +225,8 @@
 }
 
 // submitDocument sends a newer document up to 20 times, until it is
-// acknowledged.
-func (w *world) submitDocument(c context.Context) {
+// acknowledged, and reports whether it was.
+func (w *world) submitDocument(c context.Context) bool {
 	w.mu.Lock()
 	w.lastVersion += 1 + rand.IntN(3)
 	v := w.lastVersion
@@ -244,15 +244,16 @@
 				w.acknowledged, w.acknowledgedAt = v, time.Now()
 			}
 			w.mu.Unlock()
-			return
+			return true
 		case s >= 400 && s < 500 && s != http.StatusRequestTimeout && s != http.StatusTooManyRequests:
 			w.Errorf("document %d was refused with status %d", v, s)
-			return
+			return false
 		case c.Err() != nil:
-			return
+			return false
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	return false
 }
 
 // readDocument reads the document at a random control instance and checks that
