test: the soak waits until killed processes have exited

What was seen: seed 443, once in 50 seeds, "0 of 1 requests served in the last second, after 12s". Cause: the kept logs show that control-0 was never started after the power loss, and its settings were not written anew: returnPower took it for running, as its exit from SIGKILL had not been seen yet; a second instance had lost its disk, so that one of three was left. Change: the power loss waits for the exits.

--- a/soak/fleet/fleet_test.go
+++ b/soak/fleet/fleet_test.go
@@ -35,6 +35,7 @@
 	}{
 		{1, "no failure: first seed"},
 		{6, "the server stand-in ran a delayed copy of an older request"},
+		{443, "a process that had not exited yet was not started after the power loss"},
 	}
 
 	faults = []struct {
--- a/soak/fleet/recovery_test.go
+++ b/soak/fleet/recovery_test.go
@@ -17,10 +17,9 @@
 	outage = 800 * time.Millisecond
 )
 
-// losePower kills all processes and servers at once, deletes the data of control
-// instance lost unless that is noDisk, and starts everything again with settings
-// written anew. It returns when everything has started.
-func (w *world) losePower(lost int) {
+// killEverything kills all processes and servers at once and waits until the
+// processes have exited.
+func (w *world) killEverything() {
 	for _, s := range w.servers {
 		s.crash()
 	}
@@ -29,6 +28,13 @@
 		g.Go(func() { w.terminate(x, syscall.SIGKILL) })
 	}
 	g.Wait()
+}
+
+// losePower kills all processes and servers at once, deletes the data of control
+// instance lost unless that is noDisk, and starts everything again with settings
+// written anew. It returns when everything has started.
+func (w *world) losePower(lost int) {
+	w.killEverything()
 	time.Sleep(outage)
 	for i, x := range w.all {
 		if i == lost {
@@ -48,12 +54,7 @@
 func (w *world) losePowerDuringFaults() {
 	w.setRelaySeeds(w.random.IntN(2) == 0)
 	lost := w.all[w.random.IntN(controls)]
-	for _, s := range w.servers {
-		s.crash()
-	}
-	for _, x := range w.all {
-		x.signal(syscall.SIGKILL)
-	}
+	w.killEverything()
 	if !w.diskFaultMu.TryLock() {
 		return
 	}
