--- a/query/members/interest.go
+++ b/query/members/interest.go
@@ -22,7 +22,7 @@
 // InterestOf returns the interest of member m: a balancer receives all agents,
 // or only those in its data centre if local is true; an agent receives the
 // agents of its service and the balancers in its data centre. Both also receive
-// the control instances.
+// the control instances, but not the relays.
 func InterestOf(m balsampier.Member, local bool) Interest {
 	switch m.Role {
 	case balsampier.RoleBalancer:
