fix: a draining server that closes its listener has not ended

A server that leaves closes its listener before its flows have ended.

Ruled out: a second run of the server at the address (the run in the heartbeat is the same), a late packet of an earlier flow (the last packet was 1.2 s old).

Change: a refused connection to a draining server counts only after 3 s without a heartbeat. An agent that stops beside such a server sends no notice that the server has ended.

Before: TestDrainingServerClosesListener fails (absent at once).

--- a/cmd/agent/datagram/agent.go
+++ b/cmd/agent/datagram/agent.go
@@ -283,7 +283,8 @@
 func (a *Agent) Drain(c context.Context) error {
 	a.stopping.Store(true)
 	s := a.server.Load()
-	ended := s == nil || a.refusesConnections(c)
+	// A draining server may refuse connections and still serve its flows.
+	ended := s == nil || !s.Draining && a.refusesConnections(c)
 	a.log.Info().Bool("serverEnded", ended).Msg("stopping")
 	if ended {
 		if err := a.inputs.PushWith(c, input{serverEnded: true}, ring.Block); err != nil {
--- a/cmd/agent/datagram/flows.go
+++ b/cmd/agent/datagram/flows.go
@@ -134,7 +134,7 @@
 		s.done <- balsampier.NewError(balsampier.KindInvalid, "accept heartbeat", "send it to the agent beside the server", nil)
 		return
 	}
-	if a.flows.HandleHeartbeat(h) {
+	if a.flows.HandleHeartbeat(h, a.options.Clock.Now()) {
 		a.server.Store(&h)
 		a.session.RenewNow()
 		a.log.Info().Str("server", h.ID).Time("born", h.Born).Uint64("sequence", h.Sequence).Int("slots", h.Slots).
--- a/command/hold/fleetserver_test.go
+++ b/command/hold/fleetserver_test.go
@@ -29,7 +29,7 @@
 		a.table.HandleHeartbeat(balsampier.ServerState{
 			ID: fmt.Sprint("i-", i, "-", run), Born: a.server.born, Sequence: a.server.sequence, Service: "reservas",
 			Slots: 3, Draining: a.server.draining,
-		})
+		}, f.now)
 		if a.server.draining && !a.server.drainAcknowledged {
 			a.server.drainAcknowledged = true
 			f.publish()
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -97,34 +97,34 @@
 		reason  balsampier.Reason
 	}{
 		{"no server", func(*testAgent) {}, balsampier.RelayRefused, balsampier.ReasonNoBackendServer},
-		{"server", func(w *testAgent) { w.table.HandleHeartbeat(state(0, 1, false)) }, balsampier.RelayAccepted, 0},
+		{"server", func(w *testAgent) { w.table.HandleHeartbeat(state(0, 1, false), w.t) }, balsampier.RelayAccepted, 0},
 		{"draining server", func(w *testAgent) {
-			w.table.HandleHeartbeat(state(0, 1, false))
-			w.table.HandleHeartbeat(state(0, 2, true))
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
+			w.table.HandleHeartbeat(state(0, 2, true), w.t)
 		}, balsampier.RelayRefused, balsampier.ReasonDraining},
 		{"late heartbeat after draining", func(w *testAgent) {
-			w.table.HandleHeartbeat(state(0, 2, true))
-			w.table.HandleHeartbeat(state(0, 1, false))
+			w.table.HandleHeartbeat(state(0, 2, true), w.t)
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
 		}, balsampier.RelayRefused, balsampier.ReasonDraining},
 		{"heartbeat of an earlier run", func(w *testAgent) {
-			w.table.HandleHeartbeat(state(time.Second, 1, true))
-			w.table.HandleHeartbeat(state(0, 50, false))
+			w.table.HandleHeartbeat(state(time.Second, 1, true), w.t)
+			w.table.HandleHeartbeat(state(0, 50, false), w.t)
 		}, balsampier.RelayRefused, balsampier.ReasonDraining},
 		{"later run with a lower sequence number", func(w *testAgent) {
-			w.table.HandleHeartbeat(state(0, 50, true))
-			w.table.HandleHeartbeat(state(time.Second, 1, false))
+			w.table.HandleHeartbeat(state(0, 50, true), w.t)
+			w.table.HandleHeartbeat(state(time.Second, 1, false), w.t)
 		}, balsampier.RelayAccepted, 0},
 		{"server that left", func(w *testAgent) {
-			w.table.HandleHeartbeat(state(0, 1, false))
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
 			w.table.HandleShutdown("i-1")
 		}, balsampier.RelayRefused, balsampier.ReasonNoBackendServer},
 		{"server of another service", func(w *testAgent) {
 			s := state(0, 1, false)
 			s.Service = "galeria"
-			w.table.HandleHeartbeat(s)
+			w.table.HandleHeartbeat(s, w.t)
 		}, balsampier.RelayRefused, balsampier.ReasonWrongService},
 		{"newer routes forbid it", func(w *testAgent) {
-			w.table.HandleHeartbeat(state(0, 1, false))
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
 			w.forbidden = true
 		}, balsampier.RelayRefused, balsampier.ReasonRouteChanged},
 	}
@@ -144,7 +144,7 @@
 // agent's older ones do not.
 func TestOlderRoutes(t *testing.T) {
 	w := newTestAgent(qt.New(t), true)
-	w.table.HandleHeartbeat(state(0, 1, false))
+	w.table.HandleHeartbeat(state(0, 1, false), w.t)
 	w.forbidden = true
 	k, _, _ := replyOf(w.relay(balsampier.RelayOpen, segment(true), 10))
 	w.Assert(k, qt.Equals, balsampier.RelayAccepted)
@@ -165,7 +165,7 @@
 		{"unknown flow, the clock was set back in between", false, func(w *testAgent) {
 			s := state(time.Second, 9, false)
 			s.ID = "i-2"
-			w.table.HandleHeartbeat(s)
+			w.table.HandleHeartbeat(s, w.t)
 		}, ackSegment(1), balsampier.RelayUncertain},
 		{"longest flow lifetime after the start of the agent", false, func(w *testAgent) { useOlderServer(w); w.t = w.t.Add(61 * time.Second) }, ackSegment(1), balsampier.RelayNotFound},
 		{"opening not answered", true, func(w *testAgent) { w.relay(balsampier.RelayOpen, segment(true), 9) }, ackSegment(1), balsampier.RelayNotFound},
@@ -173,11 +173,11 @@
 		{"opening answered, acknowledged elsewhere", true, openHalf, ackSegment(serverSequence - 1), balsampier.RelayNotFound},
 		{"flow of an earlier run", true, func(w *testAgent) {
 			w.openFlow()
-			w.table.HandleHeartbeat(state(time.Second, 1, false))
+			w.table.HandleHeartbeat(state(time.Second, 1, false), w.t)
 		}, ackSegment(serverSequence + 1), balsampier.RelayFound},
 		{"opening of an earlier run, acknowledged elsewhere", true, func(w *testAgent) {
 			openHalf(w)
-			w.table.HandleHeartbeat(state(time.Second, 1, false))
+			w.table.HandleHeartbeat(state(time.Second, 1, false), w.t)
 		}, ackSegment(serverSequence - 1), balsampier.RelayNotFound},
 		{"retransmitted opening after the agent restarted", false, func(w *testAgent) {
 			useOlderServer(w)
@@ -192,7 +192,7 @@
 		{"flow learned before the first heartbeat", false, func(w *testAgent) {
 			useUnreportedServer(w)
 			w.fromServer(segment(false))
-			w.table.HandleHeartbeat(state(-time.Second, 9, false))
+			w.table.HandleHeartbeat(state(-time.Second, 9, false), w.t)
 		}, ackSegment(1), balsampier.RelayFound},
 		{"the server left", false, func(w *testAgent) {
 			useOlderServer(w)
@@ -203,7 +203,7 @@
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
 			w := newTestAgent(qt.New(t), v.knowsAllFlows)
-			w.table.HandleHeartbeat(state(0, 1, false))
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
 			v.prepare(w)
 			k, _, delivered := replyOf(w.relay(balsampier.RelayQuery, v.packet, 9))
 			w.Assert(k, qt.Equals, v.want)
@@ -217,7 +217,7 @@
 	w.table = hold.New(hold.Config{
 		Service: "reservas", StartedAt: start, Allowed: func(netip.AddrPort) (bool, balsampier.Revision) { return true, 9 },
 	}, start)
-	w.table.HandleHeartbeat(state(-time.Second, 1, false))
+	w.table.HandleHeartbeat(state(-time.Second, 1, false), w.t)
 }
 
 // useUnreportedServer replaces the server by one that has not sent a heartbeat
@@ -252,7 +252,7 @@
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
 			w := newTestAgent(qt.New(t), true)
-			w.table.HandleHeartbeat(state(0, 1, false))
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
 			v.prepare(w)
 			s := v.packet
 			s.Returned = true
@@ -272,7 +272,7 @@
 // interval.
 func TestSilentServer(t *testing.T) {
 	w := newTestAgent(qt.New(t), true)
-	w.table.HandleHeartbeat(state(0, 1, false))
+	w.table.HandleHeartbeat(state(0, 1, false), w.t)
 	open := func(port uint16) balsampier.RelayKind {
 		s := segment(true)
 		s.Client = netip.AddrPortFrom(client.Addr(), port)
@@ -320,10 +320,10 @@
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
 			w := newTestAgent(qt.New(t), true)
-			w.table.HandleHeartbeat(state(0, 1, false))
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
 			w.openFlow()
 			w.fromServer(segment(false))
-			w.table.HandleHeartbeat(state(time.Second, 1, false))
+			w.table.HandleHeartbeat(state(time.Second, 1, false), w.t)
 			w.Assert(w.table.Load(), qt.Equals, balsampier.Load{Slots: 3})
 			_, _, delivered := replyOf(w.relay(balsampier.RelayDeliver, ackSegment(serverSequence+1), 9))
 			w.Assert(delivered, qt.IsTrue)
@@ -343,7 +343,7 @@
 func TestServerAbsent(t *testing.T) {
 	w := newTestAgent(qt.New(t), false)
 	w.Assert(w.table.ShouldCheckServer(w.t), qt.IsTrue)
-	w.table.HandleHeartbeat(state(-time.Hour, 9, false))
+	w.table.HandleHeartbeat(state(-time.Hour, 9, false), w.t)
 	w.Assert(w.table.ShouldCheckServer(w.t), qt.IsFalse)
 	w.openFlow()
 	q := ackSegment(serverSequence + 1)
@@ -368,15 +368,43 @@
 	w.Assert(k, qt.Equals, balsampier.RelayRefused)
 	w.Assert(r, qt.Equals, balsampier.ReasonNoBackendServer)
 
-	w.Assert(w.table.HandleHeartbeat(state(-time.Hour, 10, false)), qt.IsTrue)
+	w.Assert(w.table.HandleHeartbeat(state(-time.Hour, 10, false), w.t), qt.IsTrue)
 	k, _, _ = replyOf(w.relay(balsampier.RelayOpen, segment(true), 9))
 	w.Assert(k, qt.Equals, balsampier.RelayAccepted)
 }
 
+// TestDrainingServerClosesListener checks that a server that drains is not taken
+// for ended when it refuses connections: it may have closed its listener while
+// it still serves its flows. It has ended once its heartbeats stop as well.
+func TestDrainingServerClosesListener(t *testing.T) {
+	w := newTestAgent(qt.New(t), true)
+	w.table.HandleHeartbeat(state(0, 1, false), w.t)
+	w.openFlow()
+	q := ackSegment(serverSequence + 1)
+	q.Length = 900
+	w.t = w.t.Add(time.Second)
+	w.table.HandleHeartbeat(state(0, 2, true), w.t)
+	w.relay(balsampier.RelayDeliver, q, 9)
+	w.t = w.t.Add(time.Second)
+	w.Assert(w.table.ShouldCheckServer(w.t), qt.IsTrue)
+	w.Assert(w.table.HandleServerAbsent(w.t), qt.IsFalse)
+	w.Assert(w.table.PopActions(), qt.HasLen, 0)
+	k, _, _ := replyOf(w.relay(balsampier.RelayQuery, q, 9))
+	w.Assert(k, qt.Equals, balsampier.RelayFound)
+	w.table.HandleHeartbeat(state(0, 3, true), w.t)
+	w.t = w.t.Add(2500 * time.Millisecond)
+	w.Assert(w.table.HandleServerAbsent(w.t), qt.IsFalse)
+	w.t = w.t.Add(time.Second)
+	w.Assert(w.table.HandleServerAbsent(w.t), qt.IsTrue)
+	as := w.table.PopActions()
+	w.Assert(as, qt.HasLen, 2)
+	w.Assert(as[0].Reset, qt.IsNotNil)
+}
+
 // TestLoad checks that open flows and requests in flight are counted once each.
 func TestLoad(t *testing.T) {
 	w := newTestAgent(qt.New(t), true)
-	w.table.HandleHeartbeat(state(0, 1, false))
+	w.table.HandleHeartbeat(state(0, 1, false), w.t)
 	w.openFlow()
 	w.Assert(w.table.Load(), qt.Equals, balsampier.Load{Connections: 1, Slots: 3})
 	q := ackSegment(serverSequence + 1)
@@ -398,7 +426,7 @@
 // agent left the view, because its server may still run.
 func TestDepartedAgent(t *testing.T) {
 	w := newTestAgent(qt.New(t), true)
-	w.table.HandleHeartbeat(state(0, 1, false))
+	w.table.HandleHeartbeat(state(0, 1, false), w.t)
 	lost := func() time.Duration {
 		w.table.HandleRelay(balancer, balsampier.Relay{Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: 1}}, balsampier.Segment{}, w.t)
 		as := w.table.PopActions()
--- a/command/hold/server.go
+++ b/command/hold/server.go
@@ -11,6 +11,11 @@
 // in between.
 const quietTimeout = 150 * time.Millisecond
 
+// minDrainingSilence is how long a draining server must have been silent before
+// a refused connection shows that it has ended. It covers the loss of a
+// heartbeat at the usual interval of about a second.
+const minDrainingSilence = 3 * time.Second
+
 // maxUnanswered is how many consecutive unanswered openings make a server count
 // as silent.
 const maxUnanswered = 2
@@ -29,6 +34,8 @@
 	// lastPacketAt is when the server last sent a packet. requestSentAt is when
 	// the first request after that packet was delivered to it.
 	lastPacketAt, requestSentAt time.Time
+	// heartbeatAt is when the newest heartbeat arrived.
+	heartbeatAt time.Time
 	// unanswered counts consecutive openings without an answer.
 	unanswered int
 	// A silent server receives no opening before probeAt, then one as a probe.
@@ -36,10 +43,11 @@
 	probeAt time.Time
 }
 
-// HandleHeartbeat updates the server's state from a heartbeat and reports
-// whether its run, presence, draining or slots changed. Heartbeats of an earlier
-// run, and those of the same run that are out of order, are ignored.
-func (h *FlowTable) HandleHeartbeat(s balsampier.ServerState) (changed bool) {
+// HandleHeartbeat updates the server's state from a heartbeat that arrived at
+// time t and reports whether its run, presence, draining or slots changed.
+// Heartbeats of an earlier run, and those of the same run that are out of order,
+// are ignored.
+func (h *FlowTable) HandleHeartbeat(s balsampier.ServerState, t time.Time) (changed bool) {
 	v := &h.server
 	same := v.state.ID == s.ID && v.state.Born.Equal(s.Born)
 	switch {
@@ -53,7 +61,7 @@
 		v.observedFromStart = s.Sequence <= maxStartupHeartbeats && !s.Born.Before(h.config.StartedAt.Add(-minAgentDowntime))
 	}
 	changed = !same || !v.present || v.state.Draining != s.Draining || v.state.Slots != s.Slots
-	v.state, v.present, v.reported = s, true, true
+	v.state, v.present, v.reported, v.heartbeatAt = s, true, true, t
 	return changed
 }
 
@@ -71,11 +79,17 @@
 // HandleServerAbsent records that no server listens beside the agent: any run
 // there has ended, with all its flows. It resets open flows at their clients at
 // once, so that these connect elsewhere. It reports whether the state changed.
+//
+// A draining server may close its listener and still serve its flows. It has
+// ended only if it has also been silent for minDrainingSilence.
 func (h *FlowTable) HandleServerAbsent(t time.Time) bool {
 	v := &h.server
 	if v.reported && !v.present {
 		return false
 	}
+	if v.present && v.state.Draining && t.Sub(v.heartbeatAt) < minDrainingSilence {
+		return false
+	}
 	v.reported, v.present = true, false
 	for k, f := range h.flows {
 		if f.lastFromClient && f.established && (f.state == open || f.state == openInEarlierRun) && !h.expired(f, t) {
