fix: lookups of flows keep to a share of the link and do not feed themselves

One search is a message to each of 261 agents, 34 KB, at most every 60 ms: 550 KB a second on a link of 250. Its own replies, and those to openings (40 ms) and queries (40 ms), come too late, so that openings are offered again (17,109 offers for 805 accepted in the 17th second) and flows searched again (137,000 messages a second). It stays with the balancer in which it began: coast-e had few restarts beside agents' changes.

Ruled out: processors (2 to 15 of 100), silent agents (they reply to others), control's messages (the first silent replies are those of restarted balancers and follow their first search).

Change: the next six of the ranking are queried before a search. A search goes out in batches that take a quarter of the link (new setting datagram.linkMegabitsPerSecond), to the likely services first, one at a time, and ends when its flows are found. Time-outs of openings, queries and probes follow the measured round trip. An agent's late reply to an opening counts.

--- a/cmd/balancer/datagram/balancer.go
+++ b/cmd/balancer/datagram/balancer.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -37,6 +39,7 @@
 	drainTimeout = 2500 * time.Millisecond
 	// maxPollInterval bounds how long the thread that directs packets sleeps.
 	maxPollInterval = 2 * time.Second
+	bytesPerMegabit = 1e6 / 8
 )
 
 type (
@@ -49,6 +52,9 @@
 		// port of every control instance.
 		Seeds       []netip.AddrPort `yaml:"seeds"`
 		ControlPort uint16           `yaml:"controlPort"`
+		// LinkMegabitsPerSecond is the rate of the machine's link; zero if it
+		// is not limited.
+		LinkMegabitsPerSecond float64 `yaml:"linkMegabitsPerSecond"`
 	}
 
 	// Options configure New.
@@ -148,7 +154,7 @@
 		sealer: peer.NewSealer(o.Key), seeds: control.NewSeeds(o.Seeds, o.ControlPort),
 		inputs:   ring.New[input]("inputs", ringDepth, ring.DropNewest),
 		outputs:  ring.New[output]("outputs", ringDepth, ring.DropNewest),
-		director: direct.New(o.DataCentre), counters: newCounters(),
+		director: direct.New(direct.Config{DataCentre: o.DataCentre, LinkBytesPerSecond: o.LinkMegabitsPerSecond * bytesPerMegabit}), counters: newCounters(),
 		member: balsampier.Member{
 			ID: balsampier.NewInstanceID(o.Name), Name: o.Name, Role: balsampier.RoleBalancer,
 			Incarnation: balsampier.NewIncarnation(o.Clock.Now()), DataCentre: o.DataCentre, Addr: o.PeerAddr,
@@ -177,6 +183,9 @@
 func (s *Settings) Check(f *settings.Faults) {
 	f.Addr("datagram.clientAddress", s.ClientAddr)
 	f.Positive("datagram.controlPort", int(s.ControlPort))
+	if s.LinkMegabitsPerSecond < 0 || math.IsNaN(s.LinkMegabitsPerSecond) {
+		f.Add("datagram.linkMegabitsPerSecond", fmt.Sprint(s.LinkMegabitsPerSecond), "write the rate of the link, or 0 if it is not limited")
+	}
 	if len(s.Seeds) == 0 {
 		f.Add("datagram.seeds", "", "list the address of at least one control instance")
 	}
--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -144,28 +144,27 @@
 	if len(eligible) == 0 {
 		return netip.AddrPort{}, n
 	}
-	eligible = highestScored(f.segment.Key, eligible)
+	eligible = highestScored(f.segment.Key, eligible, maxHighestScored)
 	return slices.MinFunc(eligible, func(x, y *agent) int { return cmp.Compare(x.cost(zone, t), y.cost(zone, t)) }).addr, n
 }
 
-// highestScored returns the maxHighestScored agents with the highest scores for
-// a flow.
-func highestScored(k balsampier.FlowKey, as []*agent) []*agent {
-	type ranked struct {
-		a         *agent
-		flowScore uint64
-	}
-	rs := make([]ranked, len(as))
-	for i, a := range as {
-		rs[i] = ranked{a: a, flowScore: k.Score(a.addr)}
-	}
-	slices.SortFunc(rs, func(x, y ranked) int { return cmp.Compare(y.flowScore, x.flowScore) })
-	rs = rs[:min(len(rs), maxHighestScored)]
-	out := make([]*agent, len(rs))
-	for i, r := range rs {
-		out[i] = r.a
+// highestScored returns the n agents with the highest scores for a flow,
+// highest first.
+func highestScored(k balsampier.FlowKey, as []*agent, n int) []*agent {
+	top, scores := make([]*agent, 0, n+1), make([]uint64, 0, n+1)
+	for _, a := range as {
+		s := k.Score(a.addr)
+		if len(top) == n && s <= scores[n-1] {
+			continue
+		}
+		i := len(top)
+		for i > 0 && scores[i-1] < s {
+			i--
+		}
+		top, scores = slices.Insert(top, i, a), slices.Insert(scores, i, s)
+		top, scores = top[:min(len(top), n)], scores[:min(len(scores), n)]
 	}
-	return out
+	return top
 }
 
 // cost returns the flows per slot after one more flow, plus remoteCost and
@@ -185,9 +184,9 @@
 	return c
 }
 
-// likelyHolders returns the agents of the given services that most likely hold
-// a flow, without those in not.
-func (g *agents) likelyHolders(k balsampier.FlowKey, ss []balsampier.ServiceName, not []netip.AddrPort) []netip.AddrPort {
+// likelyHolders returns the n agents of the given services that most likely
+// hold a flow, the most likely one first.
+func (g *agents) likelyHolders(k balsampier.FlowKey, ss []balsampier.ServiceName, n int) []netip.AddrPort {
 	var as []*agent
 	for _, s := range ss {
 		for _, a := range g.byService[s] {
@@ -196,7 +195,7 @@
 			}
 		}
 	}
-	return exclude(addrs(highestScored(k, as)), not)
+	return addrs(highestScored(k, as, n))
 }
 
 // searchTargets returns the agents that are sent a search. Agents that left the
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -58,6 +58,10 @@
 	// maxHighestScored is the number of agents that are compared for a new
 	// flow, or queried first for an unknown one.
 	maxHighestScored = 3
+	// maxNextScored is the number of agents that are queried next. While a
+	// third of the agents is replaced, nearly all holders are among the first
+	// nine of the ranking.
+	maxNextScored = 6
 )
 
 const (
@@ -76,15 +80,26 @@
 type (
 	state uint8
 
+	// Config configures a Director.
+	Config struct {
+		// DataCentre is that of the balancer.
+		DataCentre balsampier.DataCentre
+		// LinkBytesPerSecond is the rate of the balancer's link in either
+		// direction; zero if it is not limited.
+		LinkBytesPerSecond float64
+	}
+
 	// Director tracks the flows of one balancer. It is not safe for concurrent
 	// use.
 	Director struct {
-		zone balsampier.DataCentre
+		config Config
 		// started is when the first view was adopted.
 		started time.Time
 		routes  routes
 		agents  agents
 		flows   map[balsampier.FlowKey]*flow
+		// roundTrip is measured from the replies to openings and queries.
+		roundTrip roundTrip
 		// searches holds the pending searches, which ask all agents for flows.
 		searches searches
 		// parkedTotal is the number of parked packets of all flows.
@@ -133,14 +148,18 @@
 		// isEstablished is true once the client has sent a packet other than an
 		// opening one, which shows that a server has replied.
 		isEstablished bool
+		// firstAskedAt is when agents were first asked since the flow was last
+		// opened or looked up, askedAt when they were last asked.
+		firstAskedAt, askedAt time.Time
 		// pendingAgents are the agents that have not replied yet; uncertain
-		// those that replied that they do not know. searchedAll is true once a
-		// search has asked all agents.
+		// those that replied that they do not know.
 		pendingAgents, uncertain []netip.AddrPort
 		// uncertainOther are the uncertain agents whose service is not in the
 		// route.
 		uncertainOther []netip.AddrPort
-		searchedAll    bool
+		// queriedMore is true once the agents that rank after the most likely
+		// holders were queried, searchedAll once a search asks all agents.
+		queriedMore, searchedAll bool
 		// hasUnanswered is true if an agent that was asked did not reply,
 		// holderMayBeDeparted if an agent outside the view may hold the flow.
 		hasUnanswered, holderMayBeDeparted bool
@@ -184,9 +203,9 @@
 	}
 )
 
-// New returns a Director for a balancer in the given data centre.
-func New(zone balsampier.DataCentre) *Director {
-	return &Director{zone: zone, flows: make(map[balsampier.FlowKey]*flow), agents: newAgents()}
+// New returns a Director without routes and agents.
+func New(g Config) *Director {
+	return &Director{config: g, flows: make(map[balsampier.FlowKey]*flow), agents: newAgents()}
 }
 
 // PopActions removes and returns the pending actions, in order. The slice is
@@ -305,14 +324,11 @@
 	}
 	switch r.Kind {
 	case balsampier.RelayAccepted:
-		if f.state == stateOpening && f.agent == from {
-			f.state = stateOpen
-			d.unpark(f)
-		}
+		d.handleAccepted(f, from, t)
 	case balsampier.RelayRefused:
 		d.handleRefused(f, from, r, t)
 	case balsampier.RelayFound:
-		d.handleFound(f, from)
+		d.handleFound(f, from, t)
 	case balsampier.RelayNotFound, balsampier.RelayUncertain:
 		d.handleNotFound(f, from, r, t)
 	}
@@ -363,7 +379,7 @@
 		a := f.agent
 		f.packets = f.packets[1:]
 		d.parkedTotal--
-		d.handleFound(f, a)
+		d.handleFound(f, a, t)
 	}
 }
 
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -28,7 +28,7 @@
 // newWorld returns a Director with n agents of the service reservas and one of
 // galeria.
 func newWorld(c *qt.C, n int) *world {
-	w := &world{C: c, d: direct.New("lima-1"), t: start}
+	w := &world{C: c, d: direct.New(direct.Config{DataCentre: "lima-1"}), t: start}
 	w.d.AdoptRoutes(balsampier.RouteFile{Version: 1, Routes: []balsampier.Route{{
 		Name: "r", To: routeAddr, Targets: []balsampier.Target{{Service: "reservas", Weight: 1}},
 	}}})
@@ -246,7 +246,7 @@
 	}
 	for _, v := range tests {
 		t.Run(v.name, func(t *testing.T) {
-			w := &world{C: qt.New(t), d: direct.New("lima-1"), t: start}
+			w := &world{C: qt.New(t), d: direct.New(direct.Config{DataCentre: "lima-1"}), t: start}
 			if v.routes {
 				w.d.AdoptRoutes(balsampier.RouteFile{Version: 1})
 			}
@@ -385,6 +385,21 @@
 	}
 }
 
+// denyQueries makes the agents reply to the queries among the actions, and to
+// those that follow, that they do not have the flow.
+func (w *world) denyQueries(as []direct.Action) {
+	for len(as) > 0 {
+		var next []direct.Action
+		for _, a := range as {
+			if a.To.IsValid() && a.Relay.Kind == balsampier.RelayQuery {
+				w.d.HandleReply(a.To, balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: a.Relay.Flow}, w.t)
+				next = append(next, w.d.PopActions()...)
+			}
+		}
+		as = next
+	}
+}
+
 // TestSearch checks that one message to each agent looks up many flows, and
 // that it finds a flow at an agent that was not queried first.
 func TestSearch(t *testing.T) {
@@ -399,12 +414,7 @@
 		w.d.HandlePacket(s, []byte("packet"), w.t)
 		as = append(as, w.d.PopActions()...)
 	}
-	for _, a := range as {
-		if a.To.IsValid() {
-			w.d.HandleReply(a.To, balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: a.Relay.Flow}, w.t)
-		}
-	}
-	w.d.PopActions()
+	w.denyQueries(as)
 	as = append([]direct.Action(nil), w.advanceTime(20*time.Millisecond)...)
 	at := relayTargets(as, balsampier.RelaySearch)
 	w.Assert(at, qt.HasLen, 21)
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -10,12 +10,15 @@
 
 // handleFound records the holder of the flow and forwards the parked packets to
 // it.
-func (d *Director) handleFound(f *flow, from netip.AddrPort) {
+func (d *Director) handleFound(f *flow, from netip.AddrPort, t time.Time) {
 	if f.state == stateOpen && f.agent == from {
 		return
 	}
+	if f.state != stateProbing {
+		d.recordRoundTrip(f, !slices.Contains(f.pendingAgents, from), t)
+	}
 	d.logEvent("found", f, from, balsampier.ReasonNone, 0)
-	f.state, f.agent, f.requeryInterval = stateOpen, from, 0
+	f.state, f.agent, f.requeryInterval, f.firstAskedAt = stateOpen, from, 0, time.Time{}
 	f.attempt++
 	for _, b := range f.packets {
 		d.sendRelay(f, balsampier.RelayDeliver, from, b)
@@ -48,6 +51,7 @@
 		if !removeAddr(&f.pendingAgents, from) {
 			return
 		}
+		d.recordRoundTrip(f, false, t)
 		if r.Kind == balsampier.RelayUncertain {
 			d.addUncertain(f, from)
 		}
@@ -76,11 +80,12 @@
 	if d.dropIfNotParked(f) {
 		return
 	}
-	f.state, f.agent, f.searchedAll, f.hasUnanswered, f.holderMayBeDeparted = stateQuerying, netip.AddrPort{}, false, false, false
+	f.state, f.agent, f.hasUnanswered, f.holderMayBeDeparted = stateQuerying, netip.AddrPort{}, false, false
+	f.queriedMore, f.searchedAll = false, false
 	f.uncertain, f.uncertainOther, f.pendingAgents = nil, nil, nil
-	f.stateSince = t
+	f.stateSince, f.firstAskedAt = t, time.Time{}
 	services := d.routes.possibleServices(f.segment.Service)
-	d.queryAgents(f, d.agents.likelyHolders(f.segment.Key, services, f.excludedAgents), t)
+	d.queryAgents(f, exclude(d.agents.likelyHolders(f.segment.Key, services, maxHighestScored), f.excludedAgents), t)
 }
 
 // queryAgents queries the given agents about the flow. Without agents the
@@ -92,15 +97,31 @@
 		d.continueLookup(f, t)
 		return
 	}
-	d.setDeadline(f, t, queryTimeout)
+	f.markAsked(t)
+	d.setDeadline(f, t, d.replyTimeout(queryTimeout))
 	for _, a := range as {
 		d.sendRelay(f, balsampier.RelayQuery, a, f.packets[0])
 	}
 }
 
+// queryNextLikely queries the agents that rank after the most likely holders.
+// The agents have changed since the flow was placed, or some were not eligible
+// then. A search would ask all agents.
+func (d *Director) queryNextLikely(f *flow, t time.Time) {
+	f.queriedMore = true
+	services := d.routes.possibleServices(f.segment.Service)
+	as := d.agents.likelyHolders(f.segment.Key, services, maxHighestScored+maxNextScored)
+	d.queryAgents(f, exclude(as[min(len(as), maxHighestScored):], f.excludedAgents), t)
+}
+
 // continueLookup continues a lookup after all replies arrived or the query
-// timed out. First all agents are searched, then the uncertain ones are probed.
+// timed out. First more agents are queried, then all are searched, then the
+// uncertain ones are probed.
 func (d *Director) continueLookup(f *flow, t time.Time) {
+	if !f.queriedMore {
+		d.queryNextLikely(f, t)
+		return
+	}
 	if !f.searchedAll {
 		f.searchedAll = true
 		d.enqueueSearch(f, t)
@@ -162,7 +183,7 @@
 	f.uncertain = f.uncertain[1:]
 	f.state, f.agent = stateProbing, a
 	f.attempt++
-	d.setDeadline(f, t, probeTimeout)
+	d.setDeadline(f, t, max(probeTimeout, 2*d.replyTimeout(0)))
 	d.sendRelay(f, balsampier.RelayProbe, a, f.packets[0])
 	d.logEvent("tried", f, a, balsampier.ReasonNone, len(f.uncertain))
 }
--- /dev/null
+++ b/command/direct/lookup_test.go
@@ -0,0 +1,172 @@
+package direct_test
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/direct"
+)
+
+// sendUnknown sends a packet of each of n flows that the Director does not know
+// and returns the actions.
+func (w *world) sendUnknown(n int) []direct.Action {
+	var as []direct.Action
+	for i := range n {
+		s := segment(false)
+		s.Client = netip.AddrPortFrom(client.Addr(), uint16(i+1))
+		s.Key = balsampier.NewFlowKey(s.Client, routeAddr, nil)
+		w.d.HandlePacket(s, []byte("packet"), w.t)
+		as = append(as, w.d.PopActions()...)
+	}
+	return as
+}
+
+// newThinWorld returns a Director with n agents and a link of 2 Mbit/s.
+func newThinWorld(c *qt.C, n int) *world {
+	w := newWorld(c, 0)
+	w.d = direct.New(direct.Config{DataCentre: "lima-1", LinkBytesPerSecond: 250e3})
+	w.d.AdoptRoutes(balsampier.RouteFile{Version: 1, Routes: []balsampier.Route{{
+		Name: "r", To: routeAddr, Targets: []balsampier.Target{{Service: "reservas", Weight: 1}},
+	}}})
+	w.adoptView(1, n)
+	return w
+}
+
+// TestSearchKeepsToLink checks that searches take at most a quarter of the link,
+// however many flows are unknown and however slowly the agents reply.
+func TestSearchKeepsToLink(t *testing.T) {
+	const headBytes = 100
+	for _, p := range []struct {
+		name  string
+		flows int
+		reply bool
+	}{
+		{name: "few flows, agents reply", flows: 5, reply: true},
+		{name: "few flows, agents are silent", flows: 5},
+		{name: "many flows, agents reply", flows: 1000, reply: true},
+		{name: "many flows, agents are silent", flows: 1000},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			w := newThinWorld(qt.New(t), 200)
+			w.denyQueries(w.sendUnknown(p.flows))
+			bytes := 0
+			for range 100 {
+				for _, a := range append([]direct.Action(nil), w.advanceTime(10*time.Millisecond)...) {
+					if !a.To.IsValid() || a.Relay.Kind != balsampier.RelaySearch {
+						continue
+					}
+					bytes += headBytes + len(a.Relay.Payload)
+					if p.reply {
+						w.d.HandleReply(a.To, balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: a.Relay.Flow}, w.t)
+					}
+				}
+			}
+			w.Assert(bytes > 0, qt.IsTrue)
+			w.Assert(bytes <= 250e3/4+headBytes+800, qt.IsTrue, qt.Commentf("%d bytes in a second", bytes))
+		})
+	}
+}
+
+// TestSearchEndsOnceFound checks that a search is not sent to the remaining
+// agents once its flow has been found.
+func TestSearchEndsOnceFound(t *testing.T) {
+	w := newThinWorld(qt.New(t), 200)
+	w.denyQueries(w.sendPacket(false))
+	sent := 0
+	for i := range 100 {
+		for _, a := range append([]direct.Action(nil), w.advanceTime(10*time.Millisecond)...) {
+			if a.To.IsValid() && a.Relay.Kind == balsampier.RelaySearch {
+				sent++
+				if sent == 20 {
+					p := binary.BigEndian.AppendUint64(nil, segment(false).Key.Hi)
+					w.d.HandleReply(a.To, balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: a.Relay.Flow, Payload: p}, w.t)
+					w.d.HandleReply(a.To, balsampier.Relay{Kind: balsampier.RelayFound, Flow: segment(false).Key}, w.t)
+				}
+			}
+		}
+		w.Assert(sent <= 30, qt.IsTrue, qt.Commentf("%d messages after %d batches", sent, i))
+	}
+	w.Assert(sent >= 20, qt.IsTrue)
+}
+
+// TestHolderOfLowerRank checks that a flow is found without a search at an agent
+// that ranked among the first three before others came.
+func TestHolderOfLowerRank(t *testing.T) {
+	w := newWorld(qt.New(t), 60)
+	at := relayTargets(w.sendPacket(true), balsampier.RelayOpen)
+	w.adoptView(1, 90)
+	w.d = direct.New(direct.Config{DataCentre: "lima-1"})
+	w.d.AdoptRoutes(balsampier.RouteFile{Version: 1, Routes: []balsampier.Route{{
+		Name: "r", To: routeAddr, Targets: []balsampier.Target{{Service: "reservas", Weight: 1}},
+	}}})
+	w.adoptView(1, 90)
+	asked := 0
+	for as := w.sendPacket(false); len(as) > 0; {
+		var next []direct.Action
+		for _, a := range as {
+			w.Assert(a.Relay.Kind, qt.Not(qt.Equals), balsampier.RelaySearch)
+			if a.Relay.Kind != balsampier.RelayQuery {
+				continue
+			}
+			asked++
+			k := balsampier.RelayNotFound
+			if a.To == at[0] {
+				k = balsampier.RelayFound
+			}
+			next = append(next, w.sendReply(a.To, k, 0)...)
+		}
+		as = next
+	}
+	w.Assert(asked <= 9, qt.IsTrue)
+	w.Assert(relayTargets(w.sendPacket(false), balsampier.RelayDeliver)[0], qt.Equals, at[0])
+}
+
+// TestTimeoutFollowsReplies checks that an opening is not offered to further
+// agents while the replies of all are slow, and that one silent agent among
+// fast ones is still given up soon.
+func TestTimeoutFollowsReplies(t *testing.T) {
+	for _, p := range []struct {
+		name string
+		// replyTime is how long the agents take to reply.
+		replyTime time.Duration
+		// A silent agent is waited for at least for least and at most for most.
+		least, most time.Duration
+	}{
+		{name: "fast", replyTime: 2 * time.Millisecond, least: 40 * time.Millisecond, most: 45 * time.Millisecond},
+		{name: "slow", replyTime: 120 * time.Millisecond, least: 121 * time.Millisecond, most: 500 * time.Millisecond},
+		{name: "slower than the longest time-out", replyTime: 900 * time.Millisecond, least: 400 * time.Millisecond, most: 505 * time.Millisecond},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 40)
+			open := func(i int) (balsampier.FlowKey, []direct.Action) {
+				s := segment(true)
+				s.Client = netip.AddrPortFrom(client.Addr(), uint16(i))
+				s.Key = balsampier.NewFlowKey(s.Client, routeAddr, nil)
+				w.d.HandlePacket(s, []byte("packet"), w.t)
+				return s.Key, append([]direct.Action(nil), w.d.PopActions()...)
+			}
+			for i := range 40 {
+				k, as := open(i + 1)
+				at := relayTargets(as, balsampier.RelayOpen)
+				for e := w.t.Add(p.replyTime); w.t.Before(e); {
+					w.advanceTime(time.Millisecond)
+				}
+				w.d.HandleReply(at[0], balsampier.Relay{Kind: balsampier.RelayAccepted, Flow: k}, w.t)
+			}
+			w.d.PopActions()
+			k, _ := open(1000)
+			since := w.t
+			again := func(a direct.Action) bool { return a.Relay.Kind == balsampier.RelayOpen && a.Relay.Flow == k }
+			for !slices.ContainsFunc(w.advanceTime(time.Millisecond), again) {
+				w.Assert(w.t.Sub(since) <= p.most, qt.IsTrue)
+			}
+			w.Assert(w.t.Sub(since) >= p.least, qt.IsTrue, qt.Commentf("%v", w.t.Sub(since)))
+		})
+	}
+}
--- a/command/direct/open.go
+++ b/command/direct/open.go
@@ -29,7 +29,7 @@
 	if d.dropIfNotParked(f) {
 		return
 	}
-	a, n := d.agents.choose(f, d.zone, t)
+	a, n := d.agents.choose(f, d.config.DataCentre, t)
 	if !a.IsValid() {
 		a, n = d.chooseFallback(f, t)
 	}
@@ -40,7 +40,8 @@
 	f.state, f.agent = stateOpening, a
 	f.attempt++
 	d.agents.countPlacement(a)
-	d.setDeadline(f, t, openTimeout)
+	f.markAsked(t)
+	d.setDeadline(f, t, d.replyTimeout(openTimeout))
 	d.sendRelay(f, balsampier.RelayOpen, a, f.packets[0])
 	d.logEvent("placed", f, a, balsampier.ReasonNone, n)
 }
@@ -68,7 +69,7 @@
 		}
 		o := f.service
 		f.service = g.Service
-		if a, n := d.agents.choose(f, d.zone, t); a.IsValid() {
+		if a, n := d.agents.choose(f, d.config.DataCentre, t); a.IsValid() {
 			return a, n
 		}
 		f.service = o
@@ -101,6 +102,27 @@
 	f.attempt++
 }
 
+// handleAccepted processes the reply of an agent that delivered the opening
+// packet to its server. A reply that comes after the opening was dropped still
+// counts: the server has answered the client.
+func (d *Director) handleAccepted(f *flow, from netip.AddrPort, t time.Time) {
+	switch {
+	case f.state == stateOpening && f.agent == from:
+		d.recordRoundTrip(f, false, t)
+	case f.state == stateUnassigned && !f.isEstablished:
+		d.recordRoundTrip(f, true, t)
+		f.agent = from
+		f.attempt++
+	case f.state == stateOpening:
+		d.recordRoundTrip(f, true, t)
+		return
+	default:
+		return
+	}
+	f.state, f.firstAskedAt = stateOpen, time.Time{}
+	d.unpark(f)
+}
+
 func (d *Director) handleRefused(f *flow, from netip.AddrPort, r balsampier.Relay, t time.Time) {
 	if f.isEstablished || f.agent != from || (f.state != stateOpening && f.state != stateOpen) {
 		return
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -17,8 +17,21 @@
 	// message to every agent, and a small balancer handles a few hundred
 	// messages per second.
 	searchInterval = 60 * time.Millisecond
-	// searchTimeout is the time-out for the replies to a search.
+	// searchTimeout is the shortest time-out for the replies to a search, after
+	// its last message was sent.
 	searchTimeout = 80 * time.Millisecond
+	// searchLinkShare is the share of the balancer's link that searches may
+	// use. The packets of known flows need the rest.
+	searchLinkShare = 0.25
+	// searchBatchInterval is the interval between the batches of messages of a
+	// search, whose size keeps to searchLinkShare.
+	searchBatchInterval = 10 * time.Millisecond
+	// searchMessageBytes is the length of a search without keys: the sealed
+	// relay and the heads of its datagram.
+	searchMessageBytes = 100
+	// maxSearchWait is how long a flow whose client sends nothing more waits
+	// for a search. A client's retransmissions are at most 1.6 s apart.
+	maxSearchWait = 2 * time.Second
 	// maxSearchFlows is the maximum number of flows in a search. At 8 bytes
 	// each, a message stays below 1 KB.
 	maxSearchFlows = 100
@@ -50,16 +63,24 @@
 		// lastStart is when the newest search started.
 		lastStart time.Time
 		// activeSearches are the searches that wait for replies, oldest first.
+		// All but the newest have been sent to all their agents.
 		activeSearches []*search
 		// lastNumber is the number of the newest search.
 		lastNumber uint64
 	}
 
 	search struct {
-		number    uint64
-		keys      []balsampier.FlowKey
+		number uint64
+		keys   []balsampier.FlowKey
+		// unsentAgents are the agents that the search has yet to be sent to,
+		// the next ones at sendAt.
+		unsentAgents []netip.AddrPort
+		sendAt       time.Time
+		// expiresAt is when the replies time out; valid once unsentAgents is
+		// empty.
 		expiresAt time.Time
-		// pendingAgents are the agents that have not replied yet.
+		// pendingAgents are the agents that have not replied yet, with those
+		// that the search has yet to be sent to.
 		pendingAgents []netip.AddrPort
 		// uncertain are the agents that do not know all flows of their server.
 		uncertain []netip.AddrPort
@@ -86,32 +107,111 @@
 		}
 	}
 	q.pendingKeys = append(q.pendingKeys, f.segment.Key)
-	if len(q.pendingKeys) >= maxSearchFlows {
+	if len(q.pendingKeys) >= maxSearchFlows && !q.isSending() {
 		d.startSearch(t)
 	}
 }
 
-// startSearch sends a search for the pending flows to all agents that may have
-// flows.
+// isSending reports whether a search has yet to be sent to some agents.
+func (q *searches) isSending() bool {
+	n := len(q.activeSearches)
+	return n > 0 && len(q.activeSearches[n-1].unsentAgents) > 0
+}
+
+// startSearch begins a search for the pending flows at all agents that may have
+// flows. Flows that no longer wait are left out.
 func (d *Director) startSearch(t time.Time) {
 	q := &d.searches
+	var keys []balsampier.FlowKey
+	for len(q.pendingKeys) > 0 && len(keys) < maxSearchFlows {
+		k := q.pendingKeys[0]
+		q.pendingKeys = q.pendingKeys[1:]
+		f := d.flows[k]
+		switch {
+		case !f.awaitsSearch() || slices.Contains(keys, k):
+		case t.Sub(f.lastPacketAt) > maxSearchWait:
+			d.logEvent("abandoned", f, netip.AddrPort{}, balsampier.ReasonTimeout, 0)
+			d.evict(k, f)
+		default:
+			keys = append(keys, k)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
 	q.lastNumber++
 	q.lastStart = t
 	s := &search{
-		number: q.lastNumber, keys: q.pendingKeys, expiresAt: t.Add(searchTimeout), pendingAgents: d.agents.expectedRepliers(t),
+		number: q.lastNumber, keys: keys, sendAt: t, unsentAgents: d.searchOrder(keys), pendingAgents: d.agents.expectedRepliers(t),
 		holdersByKey: make(map[uint64][]netip.AddrPort),
 	}
-	q.pendingKeys = nil
 	q.activeSearches = append(q.activeSearches, s)
+	d.pendingActions = append(d.pendingActions, Action{Event: Event{Name: "search", Candidates: len(s.keys), Revision: d.routes.revision}})
+	d.sendSearch(s, t)
+}
+
+// searchOrder returns the agents that are sent a search: those of the services
+// that may have its flows come first.
+func (d *Director) searchOrder(keys []balsampier.FlowKey) []netip.AddrPort {
+	likely := make(map[balsampier.ServiceName]bool)
+	for _, k := range keys {
+		for _, s := range d.routes.possibleServices(d.flows[k].segment.Service) {
+			likely[s] = true
+		}
+	}
+	as := d.agents.searchTargets()
+	slices.SortStableFunc(as, func(x, y netip.AddrPort) int {
+		switch lx, ly := likely[d.agents.byAddr[x].service], likely[d.agents.byAddr[y].service]; {
+		case lx == ly:
+			return 0
+		case lx:
+			return -1
+		}
+		return 1
+	})
+	return as
+}
+
+// sendSearch sends the next batch of a search's messages.
+func (d *Director) sendSearch(s *search, t time.Time) {
 	b := make([]byte, 0, len(s.keys)*keyBytes)
 	for _, k := range s.keys {
 		b = binary.BigEndian.AppendUint64(b, k.Hi)
 	}
 	r := balsampier.Relay{Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: s.number}, Revision: d.routes.revision, Payload: b}
-	for _, a := range d.agents.searchTargets() {
+	n := d.searchBatch(len(b), len(s.unsentAgents))
+	for _, a := range s.unsentAgents[:n] {
 		d.pendingActions = append(d.pendingActions, Action{To: a, Relay: r})
 	}
-	d.pendingActions = append(d.pendingActions, Action{Event: Event{Name: "search", Candidates: len(s.keys), Revision: d.routes.revision}})
+	s.unsentAgents = s.unsentAgents[n:]
+	// The pause is that of one batch, or longer if a single message exceeds it.
+	s.sendAt = t.Add(max(searchBatchInterval, d.searchTime(n*(searchMessageBytes+len(b)))))
+	if len(s.unsentAgents) == 0 {
+		s.expiresAt = t.Add(max(searchTimeout, 2*d.replyTimeout(0)))
+	}
+}
+
+// searchBatch returns how many of n messages with payloads of the given length
+// are sent at once.
+func (d *Director) searchBatch(payload, n int) int {
+	if d.config.LinkBytesPerSecond <= 0 {
+		return n
+	}
+	b := d.config.LinkBytesPerSecond * searchLinkShare * searchBatchInterval.Seconds()
+	return min(n, max(1, int(b)/(searchMessageBytes+payload)))
+}
+
+// searchTime returns how long searches may take to send n bytes.
+func (d *Director) searchTime(n int) time.Duration {
+	if d.config.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / (d.config.LinkBytesPerSecond * searchLinkShare) * float64(time.Second))
+}
+
+// awaitsSearch reports whether the flow waits for the result of a search.
+func (f *flow) awaitsSearch() bool {
+	return f != nil && f.state == stateQuerying && f.searchedAll && len(f.packets) > 0
 }
 
 // handleSearchReply processes an agent's reply to a search.
@@ -147,7 +247,7 @@
 	if i < 0 {
 		return
 	}
-	if f := d.flows[s.keys[i]]; f != nil && f.state == stateQuerying && f.searchedAll && len(f.packets) > 0 && !slices.Contains(f.excludedAgents, from) {
+	if f := d.flows[s.keys[i]]; f.awaitsSearch() && !slices.Contains(f.excludedAgents, from) {
 		d.sendRelay(f, balsampier.RelayQuery, from, f.packets[0])
 	}
 }
@@ -156,7 +256,7 @@
 func (d *Director) finishSearch(s *search, t time.Time) {
 	for _, k := range s.keys {
 		f := d.flows[k]
-		if f == nil || f.state != stateQuerying || !f.searchedAll || len(f.packets) == 0 {
+		if !f.awaitsSearch() {
 			continue
 		}
 		f.hasUnanswered = f.hasUnanswered || d.anyMayHold(f, s.pendingAgents, t)
@@ -182,13 +282,24 @@
 	})
 }
 
-// tickSearches starts and ends the searches that are due at t.
+// tickSearches starts, continues and ends the searches that are due at t.
 func (d *Director) tickSearches(t time.Time) {
 	q := &d.searches
-	if len(q.pendingKeys) > 0 && !t.Before(q.startAt) {
+	if q.isSending() {
+		s := q.activeSearches[len(q.activeSearches)-1]
+		switch {
+		case t.Before(s.sendAt):
+		case !slices.ContainsFunc(s.keys, func(k balsampier.FlowKey) bool { return d.flows[k].awaitsSearch() }):
+			// All flows have been found: the other agents need not be asked.
+			q.activeSearches = q.activeSearches[:len(q.activeSearches)-1]
+		default:
+			d.sendSearch(s, t)
+		}
+	}
+	if len(q.pendingKeys) > 0 && !q.isSending() && !t.Before(q.startAt) {
 		d.startSearch(t)
 	}
-	for len(q.activeSearches) > 0 && !t.Before(q.activeSearches[0].expiresAt) {
+	for len(q.activeSearches) > 0 && q.activeSearches[0].isExpired(t) {
 		s := q.activeSearches[0]
 		q.activeSearches = q.activeSearches[1:]
 		d.agents.recordMissedSearch(s.pendingAgents, t)
@@ -199,15 +310,29 @@
 	}
 }
 
+func (s *search) isExpired(t time.Time) bool {
+	return len(s.unsentAgents) == 0 && !t.Before(s.expiresAt)
+}
+
 // nextSearchDeadline returns when tickSearches has work to do; false if it has
 // none.
-func (d *Director) nextSearchDeadline() (time.Time, bool) {
+func (d *Director) nextSearchDeadline() (at time.Time, ok bool) {
 	q := &d.searches
+	earliest := func(t time.Time) {
+		if !ok || t.Before(at) {
+			at, ok = t, true
+		}
+	}
+	for _, s := range q.activeSearches[:min(len(q.activeSearches), 1)] {
+		if len(s.unsentAgents) == 0 {
+			earliest(s.expiresAt)
+		}
+	}
 	switch {
-	case len(q.activeSearches) > 0 && (len(q.pendingKeys) == 0 || q.activeSearches[0].expiresAt.Before(q.startAt)):
-		return q.activeSearches[0].expiresAt, true
+	case q.isSending():
+		earliest(q.activeSearches[len(q.activeSearches)-1].sendAt)
 	case len(q.pendingKeys) > 0:
-		return q.startAt, true
+		earliest(q.startAt)
 	}
-	return time.Time{}, false
+	return at, ok
 }
--- a/command/hold/fleet_test.go
+++ b/command/hold/fleet_test.go
@@ -222,7 +222,7 @@
 func (f *fleet) decode(b []byte) balsampier.Segment { return f.packets[binary.BigEndian.Uint32(b)] }
 
 func (f *fleet) startBalancer(i int) {
-	f.balancers[i].director = direct.New("lima-1")
+	f.balancers[i].director = direct.New(direct.Config{DataCentre: "lima-1"})
 	f.balancers[i].director.AdoptRoutes(balsampier.RouteFile{Version: 1, IdleTimeout: 15 * time.Second, Routes: []balsampier.Route{{
 		Name: "r", To: to, Targets: []balsampier.Target{{Service: "reservas", Weight: 1}},
 	}}})
