fix: a late second copy of a response is not taken for the next one

Cause (report of other operators, shown here): the proxy reused connections to the backend server for idempotent requests, and so did the clients for load reports and for operators' commands. HTTP/1.1 responses carry no number. A second copy of a response that arrives after the next request was written is its response.

Ruled out: callers' streams (HTTP/3 has a stream for each request) and links between instances (drpc numbers its streams).

Change: one connection for each request on these three paths. The HTTP library repeats requests on reused connections only, so that Attempt.NoRetry is gone too.

--- a/backend/health.go
+++ b/backend/health.go
@@ -60,7 +60,9 @@
 
 // NewServer returns a Server for the backend server that sent the announcement.
 func NewServer(a Announcement, k balsampier.Clock) *Server {
-	return &Server{announcement: a, clock: k, client: &http.Client{Timeout: queryTimeout}}
+	return &Server{announcement: a, clock: k, client: &http.Client{
+		Timeout: queryTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+	}}
 }
 
 // Load returns the load that the server reports. It is a hint only.
--- a/backend/health_test.go
+++ b/backend/health_test.go
@@ -65,7 +65,7 @@
 			func() {
 				defer func() { _ = recover() }()
 				r := httptest.NewRequestWithContext(c, http.MethodPost, "/", nil)
-				_ = p.Forward(httptest.NewRecorder(), r, &backend.Attempt{BeforeSend: tt.beforeSend, NoRetry: true})
+				_ = p.Forward(httptest.NewRecorder(), r, &backend.Attempt{BeforeSend: tt.beforeSend})
 			}()
 			qt.Assert(t, got, qt.DeepEquals, []backend.Outcome{tt.want})
 		})
--- a/backend/proxy.go
+++ b/backend/proxy.go
@@ -14,33 +14,26 @@
 	"github.com/balsampier/balsampier"
 )
 
-const (
-	dialTimeout        = 2 * time.Second
-	maxIdleConnections = 64
-)
+// dialTimeout bounds the connection to the backend server, which runs nearby.
+const dialTimeout = 2 * time.Second
 
 type (
 	// Attempt is one attempt to run a request at the backend server.
 	Attempt struct {
-		// BeforeSend is called right before the first byte is sent if NoRetry
-		// is set, otherwise before the request is given to the HTTP library. An
-		// error keeps the request from being sent.
+		// BeforeSend is called right before the first byte is sent. An error
+		// keeps the request from being sent.
 		BeforeSend func() error
-		// NoRetry keeps the HTTP library from sending the request twice.
-		NoRetry bool
-		// started is set right before the first byte is sent, if NoRetry is set.
+		// started is set right before the first byte is sent.
 		started atomic.Bool
 	}
 
 	// Proxy forwards requests to one backend server.
 	Proxy struct {
 		addr netip.AddrPort
-		// keepAliveTransport reuses connections. The HTTP library may retry an
-		// idempotent request if a reused connection proves to be closed.
-		keepAliveTransport *http.Transport
-		// singleUseTransport opens a connection for each request, so that the
-		// HTTP library never retries one.
-		singleUseTransport *http.Transport
+		// transport opens a connection for each request. Then the HTTP library
+		// never retries one, and a second copy of a response that a server sends
+		// late cannot be taken for the response to the next request.
+		transport *http.Transport
 		// Observe is called when a request is sent, and the function that it
 		// returns with the outcome of the request. It may be nil, and must not
 		// change after the first use of the proxy.
@@ -69,13 +62,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if t, ok := c.Value(attemptKey{}).(*Attempt); ok && t.NoRetry {
+		if t, ok := c.Value(attemptKey{}).(*Attempt); ok {
 			return &beforeSendConn{Conn: n, attempt: t}, nil
 		}
 		return n, nil
 	}
-	p.keepAliveTransport = &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
-	p.singleUseTransport = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	p.transport = &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	return p
 }
 
@@ -84,14 +76,6 @@
 // error the request may have run, and part of the response may have been sent.
 func (p *Proxy) Forward(w http.ResponseWriter, r *http.Request, a *Attempt) error {
 	var failed error
-	t := p.keepAliveTransport
-	if a.NoRetry {
-		t = p.singleUseTransport
-	} else {
-		if err := a.BeforeSend(); err != nil {
-			return err
-		}
-	}
 	status, isComplete := 0, false
 	if p.Observe != nil {
 		done := p.Observe()
@@ -103,7 +87,7 @@
 			q.SetURL(&url.URL{Scheme: "http", Host: p.addr.String()})
 			q.SetXForwarded()
 		},
-		Transport:     t,
+		Transport:     p.transport,
 		FlushInterval: -1,
 		ModifyResponse: func(a *http.Response) error {
 			status = a.StatusCode
@@ -125,19 +109,12 @@
 }
 
 // Close closes idle connections.
-func (p *Proxy) Close() {
-	p.keepAliveTransport.CloseIdleConnections()
-	p.singleUseTransport.CloseIdleConnections()
-}
-
-// Started reports whether a byte may have been sent to the backend server. It is
-// always false unless NoRetry is set.
-func (a *Attempt) Started() bool { return a.started.Load() }
+func (p *Proxy) Close() { p.transport.CloseIdleConnections() }
 
 func (a *Attempt) classify(err error) error {
 	var d *net.OpError
 	dial := errors.As(err, &d) && d.Op == "dial"
-	if dial || a.NoRetry && !a.started.Load() {
+	if dial || !a.started.Load() {
 		return balsampier.NewError(balsampier.KindNotRun, "reach the backend server", "send the request again", err)
 	}
 	return balsampier.NewError(balsampier.KindUnknown, "read the response of the backend server",
--- a/cmd/agent/app/keyed.go
+++ b/cmd/agent/app/keyed.go
@@ -217,7 +217,7 @@
 	gone := callerGate(k.r)
 	c, cancel := context.WithTimeout(context.WithoutCancel(k.r.Context()), keyedRunTimeout)
 	defer cancel()
-	err = k.server.proxy.Forward(o, k.r.WithContext(c), &backend.Attempt{NoRetry: true, BeforeSend: func() error {
+	err = k.server.proxy.Forward(o, k.r.WithContext(c), &backend.Attempt{BeforeSend: func() error {
 		if err := gone(); err != nil {
 			return err
 		}
--- a/cmd/agent/app/serve.go
+++ b/cmd/agent/app/serve.go
@@ -62,7 +62,7 @@
 			return newRefusal(reasonConnections, retryAfter, balsampier.NewError(balsampier.KindNotRun, "open stream", "connect again to reach another server", nil))
 		}
 	}
-	return v.proxy.Forward(o, r, &backend.Attempt{BeforeSend: callerGate(r), NoRetry: !idempotent(r.Method)})
+	return v.proxy.Forward(o, r, &backend.Attempt{BeforeSend: callerGate(r)})
 }
 
 // callerGate returns a gate that refuses a request whose caller has
--- a/operator/client.go
+++ b/operator/client.go
@@ -52,7 +52,9 @@
 // NewClient returns a client for the instances at the given base URLs, which
 // authenticates with key.
 func NewClient(urls []string, key []byte, k balsampier.Clock) *Client {
-	l := &Client{key: string(key), clock: k, httpClient: http.Client{Timeout: attemptTimeout}}
+	l := &Client{key: string(key), clock: k, httpClient: http.Client{
+		Timeout: attemptTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+	}}
 	for _, u := range urls {
 		l.urls = append(l.urls, strings.TrimRight(u, "/"))
 	}
