fix: one message or error that a process cannot handle does not end it

Ruled out: HTTP and HTTP/3 handlers (their servers recover), accept loops (both repeat after temporary errors).

Change: duty.Protect turns a panic into an error with its stack: of the call in drpc handlers, of one input in the threads that handle datagrams and envelopes (dropped, counted and logged), and of the duty elsewhere, so that the process stops in order and logs why. Reads of datagrams are repeated for five seconds.

--- a/cmd/agent/app/envelope.go
+++ b/cmd/agent/app/envelope.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/peer"
 )
 
@@ -56,7 +57,14 @@
 		}
 		t := a.clock.Now()
 		for i, v := range vs[:n] {
-			a.handleInbound(c, v, t)
+			err := duty.Protect("handle envelope", func() error {
+				a.handleInbound(c, v, t)
+				return nil
+			})
+			if err != nil {
+				a.counters.countDropped("panic")
+				a.log.Error().Err(err).Msg("envelope dropped")
+			}
 			vs[i] = inboundMessage{}
 			v.buf.free()
 		}
--- a/cmd/agent/datagram/flows.go
+++ b/cmd/agent/datagram/flows.go
@@ -7,6 +7,7 @@
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/hold"
 	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/fabric"
 )
 
@@ -44,8 +45,7 @@
 			return err
 		}
 		for i := range is[:n] {
-			a.handleInput(is[i])
-			a.performActions(c)
+			a.handleProtected(c, is[i])
 			is[i].relay.Free()
 			is[i].packet.Free()
 			is[i] = input{}
@@ -58,6 +58,20 @@
 	}
 }
 
+// handleProtected handles an input and performs the actions that follow. An
+// input that causes a panic is dropped.
+func (a *Agent) handleProtected(c context.Context, i input) {
+	err := duty.Protect("handle datagram", func() error {
+		a.handleInput(i)
+		a.performActions(c)
+		return nil
+	})
+	if err != nil {
+		a.counters.countDropped("panic")
+		a.log.Error().Err(err).Msg("input dropped")
+	}
+}
+
 func (a *Agent) handleInput(i input) {
 	switch {
 	case i.state != nil:
--- a/cmd/balancer/app/steer.go
+++ b/cmd/balancer/app/steer.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/fabric"
 	"github.com/balsampier/balsampier/peer"
 )
@@ -32,7 +33,14 @@
 		}
 		t := b.table.Load()
 		for i := range ds[:n] {
-			b.handlePacket(c, t, ds[i])
+			err := duty.Protect("steer packet", func() error {
+				b.handlePacket(c, t, ds[i])
+				return nil
+			})
+			if err != nil {
+				b.counters.countDrop("panic")
+				b.log.Error().Err(err).Msg("packet dropped")
+			}
 			ds[i].Free()
 			ds[i] = fabric.Datagram{}
 		}
--- a/cmd/balancer/datagram/balancer_test.go
+++ b/cmd/balancer/datagram/balancer_test.go
@@ -125,6 +125,28 @@
 	c.Assert(b.director.FlowCount(), qt.Equals, 0)
 }
 
+// faultyCodec panics on packets of one byte.
+type faultyCodec struct{ platform.Codec }
+
+func (f faultyCodec) Decode(b []byte, fromClient bool) (balsampier.Segment, error) {
+	if len(b) == 1 {
+		panic("unexpected length")
+	}
+	return f.Codec.Decode(b, fromClient)
+}
+
+// TestPanicOnPacket checks that a packet that causes a panic is dropped and that
+// the next one is handled.
+func TestPanicOnPacket(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBalancer(c)
+	b.options.Codec = faultyCodec{}
+	for _, p := range [][]byte{{1}, append([]byte(nil), openingPacket...)} {
+		b.handleProtected(context.Background(), input{packet: fabric.Datagram{Payload: p, Caller: agentAddr, At: b.options.Clock.Now()}})
+	}
+	c.Assert(b.popOutputs(c), qt.HasLen, 1)
+}
+
 // TestReset checks that a packet that opens a flow to an address without a route
 // is answered with a reset, sent to the client's address and the port that the
 // routers use.
--- a/cmd/balancer/datagram/direct.go
+++ b/cmd/balancer/datagram/direct.go
@@ -7,6 +7,7 @@
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/direct"
 	"github.com/balsampier/balsampier/control"
+	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/fabric"
 )
 
@@ -26,7 +27,7 @@
 			return err
 		}
 		for i := range is[:n] {
-			b.handleInput(c, is[i])
+			b.handleProtected(c, is[i])
 			is[i].packet.Free()
 			is[i].reply.Free()
 			is[i] = input{}
@@ -37,6 +38,18 @@
 	}
 }
 
+// handleProtected handles an input. An input that causes a panic is dropped.
+func (b *Balancer) handleProtected(c context.Context, i input) {
+	err := duty.Protect("handle datagram", func() error {
+		b.handleInput(c, i)
+		return nil
+	})
+	if err != nil {
+		b.counters.countDrop("panic")
+		b.log.Error().Err(err).Msg("input dropped")
+	}
+}
+
 func (b *Balancer) handleInput(c context.Context, i input) {
 	switch {
 	case i.state != nil:
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -32,7 +32,8 @@
 }
 
 // Start runs the duty until it returns. Its context ends with Stop or with c.
-// Cancellation and KindClosed count as a regular end and yield no error.
+// Cancellation and KindClosed count as a regular end and yield no error. A panic
+// is an error: the process stops in order and logs it with its stack.
 func (t *Thread) Start(c context.Context) error {
 	defer close(t.done)
 	c, cancel := context.WithCancel(c)
@@ -44,7 +45,7 @@
 		case <-c.Done():
 		}
 	}()
-	err := t.run(c)
+	err := Protect("run", func() error { return t.run(c) })
 	if err == nil || errors.Is(err, context.Canceled) || balsampier.KindOf(err) == balsampier.KindClosed {
 		return nil
 	}
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// TestPanic checks that a panic of a duty ends it with an error that has the
+// value and the stack.
+func TestPanic(t *testing.T) {
+	c := qt.New(t)
+	err := New("faulty", func(context.Context) error { panic("index out of range") }).Start(t.Context())
+	c.Assert(err, qt.ErrorMatches, "(?s).*index out of range.*TestPanic.*")
+	c.Assert(balsampier.KindOf(err), qt.Equals, balsampier.KindUnknown)
+}
+
 func TestStopReturnsWhenContextEnds(t *testing.T) {
 	c := qt.New(t)
 	release := make(chan struct{})
--- a/fabric/fabric.go
+++ b/fabric/fabric.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -21,6 +22,11 @@
 	// socketBufferBytes is the size requested for the receive and the send
 	// buffer of each socket. The kernel may grant less.
 	socketBufferBytes = 4 << 20
+
+	// maxFailedReads is how many reads may fail in a row, retryInterval apart,
+	// before the fault counts as permanent.
+	maxFailedReads = 500
+	retryInterval  = 10 * time.Millisecond
 )
 
 type (
@@ -73,10 +79,12 @@
 func (s *Socket) Service() netip.AddrPort { return s.service }
 
 // Receive calls f with each datagram until c ends or f returns an error. f owns
-// the datagram and has to free it.
+// the datagram and has to free it. A failed read is repeated, because the next
+// one may succeed; only a closed socket or maxFailedReads in a row end Receive.
 func (s *Socket) Receive(c context.Context, f func(Datagram) error) error {
 	stop := context.AfterFunc(c, func() { _ = s.conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
+	failed := 0
 	for {
 		b := bufferPool.Get().(*[MaxDatagramBytes]byte)
 		n, a, err := s.conn.ReadFromUDPAddrPort(b[:])
@@ -84,8 +92,14 @@
 			return c.Err()
 		}
 		if err != nil {
-			return trace.Wrap(err, "receive datagrams for %s", s.service)
+			bufferPool.Put(b)
+			if failed++; failed >= maxFailedReads || errors.Is(err, net.ErrClosed) {
+				return trace.Wrap(err, "receive datagrams for %s", s.service)
+			}
+			s.pause(c)
+			continue
 		}
+		failed = 0
 		d := Datagram{
 			Caller:      netip.AddrPortFrom(a.Addr().Unmap(), a.Port()),
 			ServiceAddr: s.service, Payload: b[:n], At: s.clock.Now(), buf: b,
@@ -96,6 +110,16 @@
 	}
 }
 
+// pause waits for retryInterval or until c ends.
+func (s *Socket) pause(c context.Context) {
+	t := s.clock.NewTimer(retryInterval)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-c.Done():
+	}
+}
+
 // Send sends p from the service address to the caller.
 func (s *Socket) Send(p []byte, caller netip.AddrPort) error {
 	_, err := s.conn.WriteToUDPAddrPort(p, caller)
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/duty"
 	"github.com/balsampier/balsampier/peer/peerpb"
 )
 
@@ -42,6 +44,9 @@
 		stop chan struct{}
 	}
 
+	// protectedHandler turns a panic of a call into an error of the call.
+	protectedHandler struct{ drpc.Handler }
+
 	controlServer struct {
 		key        Key
 		rpcHandler ControlHandler
@@ -78,13 +83,18 @@
 	o := drpcserver.Options{Manager: drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}, InactivityTimeout: idleTimeout,
 	}}
-	err := drpcserver.NewWithOptions(s.mux, o).Serve(c, s.tcpListener)
+	err := drpcserver.NewWithOptions(protectedHandler{s.mux}, o).Serve(c, s.tcpListener)
 	if c.Err() != nil {
 		return nil
 	}
 	return trace.Wrap(err, "serve peers")
 }
 
+// HandleRPC implements drpc.Handler.
+func (h protectedHandler) HandleRPC(s drpc.Stream, rpc string) error {
+	return encodeError(duty.Protect("handle "+rpc, func() error { return h.Handler.HandleRPC(s, rpc) }))
+}
+
 // Stop makes Start return. It must be called only once.
 func (s *Server) Stop(context.Context) error {
 	close(s.stop)
