--- a/bench/loads/clients_test.go
+++ b/bench/loads/clients_test.go
@@ -132,13 +132,21 @@
 	})
 }
 
-// routerChoice returns the balancer in rotation that the router of the client's
-// zone picks: only the flows of a balancer move when it leaves.
+// routerChoice returns the balancer that the router of the client's zone picks.
+// Only the flows of a balancer move when it leaves the rotation. With fewer than
+// half of a zone's balancers in rotation the router uses all of them.
 func (f *fleet) routerChoice(x *flow) int {
-	best, score := -1, uint64(0)
+	ready, all := 0, 0
 	for i := x.client.zone; i < len(f.balancers); i += zones {
-		if b := f.balancers[i]; b.inRotation {
-			if s := x.key.Score(b.addr); best < 0 || s > score {
+		all++
+		if f.balancers[i].inRotation {
+			ready++
+		}
+	}
+	best, score := x.client.zone, uint64(0)
+	for i := x.client.zone; i < len(f.balancers); i += zones {
+		if b := f.balancers[i]; b.inRotation || 2*ready < all {
+			if s := x.key.Score(b.addr); s > score {
 				best, score = i, s
 			}
 		}
@@ -208,12 +216,16 @@
 
 // served returns the share of the requests started in [from, to) that were
 // served before their deadline.
-func (f *fleet) served(from, to time.Duration) float64 {
+func (f *fleet) served(from, to time.Duration) float64 { return f.servedWithin(from, to, deadline) }
+
+// servedWithin returns the share of the requests started in [from, to) that were
+// served within d.
+func (f *fleet) servedWithin(from, to, d time.Duration) float64 {
 	n, ok := 0, 0
 	for _, r := range f.requests {
 		if s := r.startedAt.Sub(start); s >= from && s < to {
 			n++
-			if !r.servedAt.IsZero() {
+			if !r.servedAt.IsZero() && r.servedAt.Sub(r.startedAt) <= d {
 				ok++
 			}
 		}
--- a/bench/loads/fleet_test.go
+++ b/bench/loads/fleet_test.go
@@ -194,12 +194,19 @@
 	a := &agent{
 		addr: addrAt(20, len(f.agents)), zone: zone, service: service, flows: make(map[balsampier.FlowKey]uint32), known: make(map[int]bool),
 	}
+	f.agents = append(f.agents, a)
+	f.startTable(len(f.agents)-1, first)
+}
+
+// startTable starts the agent i beside a server that starts with it. first is
+// true if no flow can be older.
+func (f *fleet) startTable(i int, first bool) {
+	a := f.agents[i]
 	a.table = hold.New(hold.Config{
-		Service: serviceNames[service], KnowsAllFlows: first, StartedAt: f.now,
-		Allowed: func(to netip.AddrPort) (bool, balsampier.Revision) { return to == routeAddrs[service], 1 },
+		Service: serviceNames[a.service], KnowsAllFlows: first, StartedAt: f.now,
+		Allowed: func(to netip.AddrPort) (bool, balsampier.Revision) { return to == routeAddrs[a.service], 1 },
 	}, f.now)
-	i := len(f.agents)
-	f.agents = append(f.agents, a)
+	a.tickAt = time.Time{}
 	f.heartbeat(i)
 }
 
--- a/bench/loads/storm_test.go
+++ b/bench/loads/storm_test.go
@@ -49,6 +49,49 @@
 	}
 }
 
+// losePower ends all processes, with all flows, and starts them again after d.
+// Balancers get their first view up to a second later.
+func (f *fleet) losePower(d time.Duration) {
+	for i, b := range f.balancers {
+		b.up, b.inRotation = false, false
+		f.after(d+f.delay(time.Second), func() {
+			f.startBalancer(i)
+			b.inRotation = true
+		})
+	}
+	for _, a := range f.agents {
+		a.gone = true
+		clear(a.flows)
+	}
+	f.after(d, func() {
+		for i, a := range f.agents {
+			a.gone = false
+			f.startTable(i, false)
+		}
+	})
+}
+
+// TestReturnOfPower ends all processes of a fleet at once. Clients then send on
+// flows that nobody has. Within 5 s after the return all requests must be served
+// again.
+func TestReturnOfPower(t *testing.T) {
+	const (
+		lostAt     = 4 * time.Second
+		downTime   = 1200 * time.Millisecond
+		returnedBy = lostAt + downTime + 5*time.Second
+		end        = returnedBy + 2*time.Second
+	)
+	c := qt.New(t)
+	f := newFleet(1, 96, 204, thinLink)
+	f.addClients(6000, 2800)
+	f.after(lostAt, func() { f.losePower(downTime) })
+	f.run(end + deadline)
+	for s := time.Duration(0); s < end; s += time.Second {
+		c.Logf("%v: served %.4f, in time %.4f, messages %v", s, f.served(s, s+time.Second), f.servedWithin(s, s+time.Second, aim), f.sent[s/time.Second])
+	}
+	c.Assert(f.served(returnedBy, end) >= 0.999, qt.IsTrue)
+}
+
 // TestLookupsDoNotFeedThemselves loads 96 balancers with links of 2 Mbit/s while
 // their flows move to balancers that do not know them. A search that delays the
 // replies to other lookups must not cause more searches than it answers: all
