--- a/cmd/balancer/datagram/balancer.go
+++ b/cmd/balancer/datagram/balancer.go
@@ -39,7 +39,14 @@
 	drainTimeout = 2500 * time.Millisecond
 	// maxPollInterval bounds how long the thread that directs packets sleeps.
 	maxPollInterval = 2 * time.Second
-	bytesPerMegabit = 1e6 / 8
+
+	// Lookups are slow while more flows than maxLookups wait for a search or the
+	// time-out for replies exceeds maxUsualReplyTimeout. slowLogDelay is how
+	// long that must last to be logged.
+	maxLookups           = 200
+	maxUsualReplyTimeout = 150 * time.Millisecond
+	slowLogDelay         = time.Second
+	bytesPerMegabit      = 1e6 / 8
 )
 
 type (
@@ -91,7 +98,15 @@
 		// director is used by the thread that directs packets only.
 		director *direct.Director
 		flows    atomic.Int64
-		counters counters
+		// lookups is how many flows wait for a search, and replyTimeout the
+		// time-out for replies of agents, in nanoseconds.
+		lookups, replyTimeout atomic.Int64
+		// slowSince is when lookups became slow; zero while they are not.
+		// slowLogged is true once that was logged. Both belong to the thread
+		// that directs packets.
+		slowSince  time.Time
+		slowLogged bool
+		counters   counters
 	}
 
 	// input is one message to the thread that directs packets. Exactly one
@@ -176,6 +191,7 @@
 		return nil, err
 	}
 	b.session.ExportMetrics()
+	b.exportMetrics()
 	return b, nil
 }
 
--- a/cmd/balancer/datagram/balancer_test.go
+++ b/cmd/balancer/datagram/balancer_test.go
@@ -147,6 +147,31 @@
 	c.Assert(b.popOutputs(c), qt.HasLen, 1)
 }
 
+// TestSlowLookups checks that the balancer notices that lookups have been slow
+// for a second, and that they are fast again.
+func TestSlowLookups(t *testing.T) {
+	c := qt.New(t)
+	b := newTestBalancer(c)
+	now := b.options.Clock.Now()
+	for i := range 2 * maxLookups {
+		p := append([]byte(nil), openingPacket...)
+		p[8], p[20], p[21] = 32, byte(i), byte(i>>8)
+		b.receivePacket(p)
+	}
+	b.director.Tick(now.Add(time.Second))
+	b.director.Tick(now.Add(2 * time.Second))
+	b.watchLookups(now.Add(2 * time.Second))
+	c.Assert(b.slowLogged, qt.IsFalse)
+	b.watchLookups(now.Add(3 * time.Second))
+	c.Assert(b.lookups.Load() > maxLookups, qt.IsTrue)
+	c.Assert(b.slowLogged, qt.IsTrue)
+	for i := range 20 {
+		b.director.Tick(now.Add(time.Duration(4+i) * time.Second))
+	}
+	b.watchLookups(now.Add(30 * time.Second))
+	c.Assert(b.slowLogged, qt.IsFalse)
+}
+
 // TestReset checks that a packet that opens a flow to an address without a route
 // is answered with a reset, sent to the client's address and the port that the
 // routers use.
--- a/cmd/balancer/datagram/direct.go
+++ b/cmd/balancer/datagram/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/balsampier/balsampier"
 	"github.com/balsampier/balsampier/command/direct"
@@ -35,6 +36,27 @@
 		b.director.Tick(b.options.Clock.Now())
 		b.performActions(c)
 		b.flows.Store(int64(b.director.FlowCount()))
+		b.watchLookups(b.options.Clock.Now())
+	}
+}
+
+// watchLookups publishes how slow lookups are, and logs when they become slow for
+// longer than slowLogDelay and when they are not any more.
+func (b *Balancer) watchLookups(t time.Time) {
+	n, w := b.director.Lookups()
+	b.lookups.Store(int64(n))
+	b.replyTimeout.Store(int64(w))
+	switch slow := n > maxLookups || w > maxUsualReplyTimeout; {
+	case slow && b.slowSince.IsZero():
+		b.slowSince = t
+	case slow && !b.slowLogged && t.Sub(b.slowSince) >= slowLogDelay:
+		b.slowLogged = true
+		b.log.Warn().Int("waiting", n).Dur("replyTimeout", w).Msg("lookups of flows are slow: the link or the agents are overloaded")
+	case !slow && b.slowLogged:
+		b.log.Info().Dur("lasted", t.Sub(b.slowSince)).Msg("lookups of flows are fast again")
+		fallthrough
+	case !slow:
+		b.slowSince, b.slowLogged = time.Time{}, false
 	}
 }
 
--- a/cmd/balancer/datagram/dump.go
+++ b/cmd/balancer/datagram/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -23,8 +24,12 @@
 		Draining   bool                  `json:"draining"`
 		Members    members.Summary       `json:"members"`
 		Flows      int64                 `json:"flows"`
-		Packets    uint64                `json:"packets"`
-		Rings      []ring.Stats          `json:"rings"`
+		// Lookups is how many flows wait for a search, and ReplyTimeout the
+		// time-out for replies of agents.
+		Lookups      int64         `json:"lookups"`
+		ReplyTimeout time.Duration `json:"replyTimeout"`
+		Packets      uint64        `json:"packets"`
+		Rings        []ring.Stats  `json:"rings"`
 	}
 
 	counters struct{ packets *metrics.Counter }
@@ -36,10 +41,19 @@
 	return Dump{
 		Program: "balancer", Name: b.options.Name, DataCentre: b.options.DataCentre, Revision: s.Rules.Revision, Epoch: s.View.Epoch,
 		Control: b.session.Status(), Draining: b.draining.Load(), Members: members.Summarize(s.View),
-		Flows: b.flows.Load(), Packets: b.counters.packets.Get(), Rings: []ring.Stats{b.inputs.Stats(), b.outputs.Stats()},
+		Flows: b.flows.Load(), Lookups: b.lookups.Load(), ReplyTimeout: time.Duration(b.replyTimeout.Load()), Packets: b.counters.packets.Get(), Rings: []ring.Stats{b.inputs.Stats(), b.outputs.Stats()},
 	}
 }
 
+// exportMetrics exports the state of the flows as gauges.
+func (b *Balancer) exportMetrics() {
+	metrics.GetOrCreateGauge("balsampier_balancer_flows", func() float64 { return float64(b.flows.Load()) })
+	metrics.GetOrCreateGauge("balsampier_balancer_waiting_lookups", func() float64 { return float64(b.lookups.Load()) })
+	metrics.GetOrCreateGauge("balsampier_balancer_reply_timeout_seconds", func() float64 {
+		return time.Duration(b.replyTimeout.Load()).Seconds()
+	})
+}
+
 func newCounters() counters {
 	return counters{packets: metrics.GetOrCreateCounter("balsampier_balancer_client_packets_total")}
 }
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -228,6 +228,16 @@
 // FlowCount returns the number of known flows.
 func (d *Director) FlowCount() int { return len(d.flows) }
 
+// Lookups returns how many flows wait for a search, and the time-out for the
+// replies of agents. Both grow while the balancer or its link is overloaded.
+func (d *Director) Lookups() (waiting int, replyTimeout time.Duration) {
+	waiting = len(d.searches.pendingKeys)
+	for _, s := range d.searches.activeSearches {
+		waiting += len(s.keys)
+	}
+	return waiting, d.replyTimeout(openTimeout)
+}
+
 // HandlePacket decides on a client's packet that arrived at time t. It copies b
 // if the packet has to be parked.
 func (d *Director) HandlePacket(s balsampier.Segment, b []byte, t time.Time) {
