fix: a response without a length never looks complete

If the server ends halfway, the caller got half of it as a whole response. Responses with a length or chunks were broken off correctly before.

--- a/backend/proxy.go
+++ b/backend/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -42,6 +43,10 @@
 
 	attemptKey struct{}
 
+	// endlessBody is the body of a response of which only the end of the
+	// connection tells the end.
+	endlessBody struct{ io.ReadCloser }
+
 	// beforeSendConn calls BeforeSend of the attempt before its first write.
 	beforeSendConn struct {
 		net.Conn
@@ -91,6 +96,9 @@
 		FlushInterval: -1,
 		ModifyResponse: func(a *http.Response) error {
 			status = a.StatusCode
+			if hasUnknownEnd(a) {
+				a.Body = endlessBody{a.Body}
+			}
 			return nil
 		},
 		ErrorHandler: func(_ http.ResponseWriter, _ *http.Request, err error) {
@@ -108,6 +116,22 @@
 	return failed
 }
 
+// hasUnknownEnd reports whether the response has a body without a length, so that
+// one that was broken off looks like a whole one.
+func hasUnknownEnd(a *http.Response) bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.StatusCode != http.StatusSwitchingProtocols
+}
+
+// Read implements io.Reader. The end of the connection is an error.
+func (b endlessBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = balsampier.NewError(balsampier.KindUnknown, "read the response of the backend server",
+			"let the server send Content-Length or chunks", io.ErrUnexpectedEOF)
+	}
+	return n, err
+}
+
 // Close closes idle connections.
 func (p *Proxy) Close() { p.transport.CloseIdleConnections() }
 
