fix: an agent checks the server behind a first heartbeat

A heartbeat that was delayed until after the server had left made the server present again, also after a connection had been refused, and nothing checked it before two openings had been lost on it.

Ruled out: late heartbeats at an agent that did not restart (by start and sequence), members in control's view after a restart (leases and departures are in the log), keys (read at the start only).

TestServerAbsent expected no check after the heartbeat alone; it now expects one until the server is confirmed.

Before: TestLateHeartbeatOfEndedServer fails. After: it passes.

--- a/cmd/agent/datagram/agent.go
+++ b/cmd/agent/datagram/agent.go
@@ -126,9 +126,10 @@
 		relay, packet fabric.Datagram
 		serverMessage *serverMessage
 		state         *control.State
-		// serverAbsent is true when nothing listens at the server's address;
-		// serverEnded when the agent stops after the server has ended.
-		serverAbsent, serverEnded bool
+		// serverAbsent is true when nothing listens at the server's address,
+		// serverListens when a server does, and serverEnded when the agent stops
+		// after the server has ended.
+		serverAbsent, serverListens, serverEnded bool
 	}
 
 	// serverMessage is a heartbeat or a shutdown notice that the server sent over
@@ -286,7 +287,7 @@
 	a.stopping.Store(true)
 	s := a.server.Load()
 	// A draining server may refuse connections and still serve its flows.
-	ended := s == nil || !s.Draining && a.refusesConnections(c)
+	ended := s == nil || !s.Draining && a.checkServer(c) == serverAbsent
 	a.log.Info().Bool("serverEnded", ended).Msg("stopping")
 	if ended {
 		if err := a.inputs.PushWith(c, input{serverEnded: true}, ring.Block); err != nil {
--- a/cmd/agent/datagram/flows.go
+++ b/cmd/agent/datagram/flows.go
@@ -82,6 +82,8 @@
 		a.adoptState(*i.state)
 	case i.serverAbsent:
 		a.handleServerAbsent()
+	case i.serverListens:
+		a.flows.HandleServerListens()
 	case i.serverEnded:
 		a.notifyBalancers(context.Background())
 	case i.serverMessage != nil:
--- a/cmd/agent/datagram/probe.go
+++ b/cmd/agent/datagram/probe.go
@@ -11,6 +11,15 @@
 	"github.com/balsampier/balsampier/ring"
 )
 
+const (
+	serverUnknown serverCheck = iota
+	serverListens
+	serverAbsent
+)
+
+// serverCheck is the result of a connection to the server's address.
+type serverCheck uint8
+
 // probeServer is the thread that probes the server's address while it is
 // uncertain whether a server listens there.
 func (a *Agent) probeServer(c context.Context) error {
@@ -21,8 +30,9 @@
 			return c.Err()
 		}
 		for a.serverUncertain.Load() && c.Err() == nil {
-			if a.refusesConnections(c) {
-				if err := a.inputs.PushWith(c, input{serverAbsent: true}, ring.Block); err != nil {
+			if n := a.checkServer(c); n != serverUnknown {
+				i := input{serverAbsent: n == serverAbsent, serverListens: n == serverListens}
+				if err := a.inputs.PushWith(c, i, ring.Block); err != nil {
 					return err
 				}
 			}
@@ -37,17 +47,20 @@
 	return c.Err()
 }
 
-// refusesConnections reports whether a TCP connection to the server's address is
-// refused, so that nothing listens there. A time-out does not count: the server
-// may be busy.
-func (a *Agent) refusesConnections(c context.Context) bool {
+// checkServer connects to the server's address. Nothing listens there if the
+// connection is refused. After a time-out nothing is known, as the server may be
+// busy.
+func (a *Agent) checkServer(c context.Context) serverCheck {
 	d := net.Dialer{Timeout: probeTimeout}
 	n, err := d.DialContext(c, "tcp", a.options.ServerAddr.String())
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = n.Close()
-		return false
+		return serverListens
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return serverAbsent
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return serverUnknown
 }
 
 // updateProbe starts or stops probing the server, as the flow table asks.
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -344,6 +344,8 @@
 	w := newTestAgent(qt.New(t), false)
 	w.Assert(w.table.ShouldCheckServer(w.t), qt.IsTrue)
 	w.table.HandleHeartbeat(state(-time.Hour, 9, false), w.t)
+	w.Assert(w.table.ShouldCheckServer(w.t), qt.IsTrue)
+	w.table.HandleServerListens()
 	w.Assert(w.table.ShouldCheckServer(w.t), qt.IsFalse)
 	w.openFlow()
 	q := ackSegment(serverSequence + 1)
@@ -373,6 +375,43 @@
 	w.Assert(k, qt.Equals, balsampier.RelayAccepted)
 }
 
+// TestLateHeartbeatOfEndedServer checks that a heartbeat that arrives after its
+// server has ended, at an agent that has restarted meanwhile, is checked: the
+// server does not stay in use if nothing listens. A packet or a connection
+// confirms a server that lives.
+func TestLateHeartbeatOfEndedServer(t *testing.T) {
+	for _, p := range []struct {
+		name     string
+		evidence func(*testAgent)
+		checks   bool
+	}{
+		{name: "nothing heard since", evidence: func(*testAgent) {}, checks: true},
+		{name: "the server listens", evidence: func(w *testAgent) { w.table.HandleServerListens() }},
+		{name: "the server sent a packet", evidence: func(w *testAgent) {
+			w.table.HandleServerPacket(segment(false), []byte("packet"), w.t)
+			w.table.PopActions()
+		}},
+		{name: "it listened, and another run sent a heartbeat", evidence: func(w *testAgent) {
+			w.table.HandleServerListens()
+			w.table.HandleHeartbeat(state(time.Hour, 1, false), w.t)
+		}, checks: true},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			w := newTestAgent(qt.New(t), false)
+			w.Assert(w.table.HandleServerAbsent(w.t), qt.IsTrue)
+			w.table.HandleHeartbeat(state(-time.Hour, 90, false), w.t)
+			p.evidence(w)
+			w.t = w.t.Add(time.Second)
+			w.Assert(w.table.ShouldCheckServer(w.t), qt.Equals, p.checks)
+			if p.checks {
+				w.Assert(w.table.HandleServerAbsent(w.t), qt.IsTrue)
+				_, r, _ := replyOf(w.relay(balsampier.RelayOpen, segment(true), 9))
+				w.Assert(r, qt.Equals, balsampier.ReasonNoBackendServer)
+			}
+		})
+	}
+}
+
 // TestDrainingServerClosesListener checks that a server that drains is not taken
 // for ended when it refuses connections: it may have closed its listener while
 // it still serves its flows. It has ended once its heartbeats stop as well.
--- a/command/hold/server.go
+++ b/command/hold/server.go
@@ -28,6 +28,10 @@
 	reported bool
 	present  bool
 	state    balsampier.ServerState
+	// confirmed is true once a packet or an accepted connection showed that the
+	// present run of the server lives. Its heartbeat alone may be late: the run
+	// may have ended before the agent started.
+	confirmed bool
 	// observedFromStart is true if the agent certainly saw all packets of this
 	// run of the server.
 	observedFromStart bool
@@ -60,6 +64,7 @@
 	if !same {
 		v.observedFromStart = s.Sequence <= maxStartupHeartbeats && !s.Born.Before(h.config.StartedAt.Add(-minAgentDowntime))
 	}
+	v.confirmed = v.confirmed && same && v.present
 	changed = !same || !v.present || v.state.Draining != s.Draining || v.state.Slots != s.Slots
 	v.state, v.present, v.reported, v.heartbeatAt = s, true, true, t
 	return changed
@@ -102,9 +107,13 @@
 	return true
 }
 
+// HandleServerListens records that a server accepts connections beside the
+// agent.
+func (h *FlowTable) HandleServerListens() { h.server.confirmed = h.server.present }
+
 // ShouldCheckServer reports whether the caller should check that a server
-// listens: none has sent a heartbeat yet, or the present one does not answer
-// its requests or openings.
+// listens: none has sent a heartbeat yet, the heartbeat of the present one is
+// not confirmed, or it does not answer its requests or openings.
 func (h *FlowTable) ShouldCheckServer(t time.Time) bool {
 	v := &h.server
 	switch {
@@ -112,6 +121,8 @@
 		return true
 	case !v.present:
 		return false
+	case !v.confirmed && !v.state.Draining:
+		return true
 	}
 	return v.silent || h.running > 0 && t.Sub(v.lastPacketAt) > quietTimeout && t.Sub(v.requestSentAt) > quietTimeout
 }
@@ -139,7 +150,9 @@
 }
 
 // recordPacket records that the server sent a packet at time t.
-func (v *server) recordPacket(t time.Time) { v.silent, v.unanswered, v.lastPacketAt = false, 0, t }
+func (v *server) recordPacket(t time.Time) {
+	v.silent, v.unanswered, v.lastPacketAt, v.confirmed = false, 0, t, v.present
+}
 
 // recordRequest records that a request was delivered to the server at time t.
 func (v *server) recordRequest(t time.Time) {
