fix: the end of a shutdown waits until the last connection is removed

Cause: a connection is removed from its generation by a thread that starts when the connection's context ends, and the HTTP/3 server reports the end of its last connection without waiting for that thread.

Ruled out: a connection that stays open (the next line of the test, and its client, saw it end).

Change: the drain of a generation returns once its last connection is removed.

--- a/caller/generation.go
+++ b/caller/generation.go
@@ -34,6 +34,9 @@
 		// pendingConns counts connections that the server has not registered
 		// yet. None is added once draining is true.
 		pendingConns sync.WaitGroup
+		// openConns counts the elements of conns, so that the end of a drain can
+		// wait until the last connection is removed.
+		openConns sync.WaitGroup
 
 		mu sync.Mutex
 		// conns holds the open connections.
@@ -93,7 +96,12 @@
 // waits until none is left or c ends.
 func (g *generation) drainAndWait(c context.Context) error {
 	g.startDraining()
-	return g.server.Shutdown(c)
+	if err := g.server.Shutdown(c); err != nil {
+		return err
+	}
+	// All connections have ended; they are removed by threads of their own.
+	g.openConns.Wait()
+	return nil
 }
 
 // close closes all connections at once.
@@ -128,7 +136,9 @@
 	defer g.mu.Unlock()
 	u := &usage{conn: q, idleSince: g.clock.Now()}
 	g.conns[q] = u
+	g.openConns.Add(1)
 	context.AfterFunc(q.Context(), func() {
+		defer g.openConns.Done()
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		delete(g.conns, q)
