fix: concurrent calls to control share one connection

Two calls without a connection both dialled, and one connection was never closed; each failed call moved to the next instance, also after another call had done so.

Before: TestConcurrentCalls gets 8 connections. After: one, and the client moves on by one instance.

--- a/peer/client.go
+++ b/peer/client.go
@@ -151,19 +151,25 @@
 		l.currentAddr = (l.currentAddr + 1) % len(l.addrs)
 		return nil, err
 	}
+	if l.conn != nil {
+		// Another call has connected meanwhile.
+		_ = conn.Close()
+		return l.conn, nil
+	}
 	l.conn, l.connAddr = conn, a
 	return conn, nil
 }
 
-// discardConn closes a connection on which a call failed and switches to the
-// next instance. It returns the address of the connection for the error.
+// discardConn closes a connection on which a call failed. It switches to the next
+// instance unless another call has already done so. It returns the address of the
+// shared connection for the error.
 func (l *ControlClient) discardConn(conn drpc.Conn) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_ = conn.Close()
 	if l.conn == conn {
 		l.conn = nil
+		l.currentAddr = (l.currentAddr + 1) % len(l.addrs)
 	}
-	l.currentAddr = (l.currentAddr + 1) % len(l.addrs)
 	return l.connAddr.String()
 }
