--- a/cmd/control/app/relay.go
+++ b/cmd/control/app/relay.go
@@ -63,6 +63,8 @@
 		// Leader is the operator address that callers are directed to; empty if
 		// there is none.
 		Leader string `json:"leader"`
+		// Replicas are the peer addresses that the relay names to members.
+		Replicas []netip.AddrPort `json:"replicas"`
 	}
 )
 
@@ -127,7 +129,7 @@
 
 // Dump returns the state for operators.
 func (r *Relay) Dump() any {
-	d := RelayDump{Program: "control", Name: r.instanceSettings.Name, Control: r.session.Status()}
+	d := RelayDump{Program: "control", Name: r.instanceSettings.Name, Control: r.session.Status(), Replicas: r.replicas()}
 	if a, ok := r.Leader(); ok {
 		d.Leader = a.String()
 	}
--- a/cmd/control/app/relay_test.go
+++ b/cmd/control/app/relay_test.go
@@ -51,6 +51,7 @@
 			})
 			c.Assert(balsampier.KindOf(err), qt.Equals, balsampier.KindUnavailable)
 			c.Assert(fmt.Sprint(got), qt.Equals, fmt.Sprint(v.want))
+			c.Assert(fmt.Sprint(r.Dump().(RelayDump).Replicas), qt.Equals, fmt.Sprint(v.want))
 		})
 	}
 }
