fix: flows that share a hash do not hide each other from searches

The table by hash had one flow for each hash: of two flows whose keys share their first half, the later one replaced the earlier one, and the end of either hid both, so that a balancer could reset a flow as nobody had it. Clients choose addresses and ports, and the hash has no key.

Before: TestFlowsWithTheSameHash fails for each of three flows. After: it passes.

--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -88,7 +88,7 @@
 		server server
 		flows  map[balsampier.FlowKey]*flow
 		// byHash holds the same flows by the part of the key that searches
-		// carry.
+		// carry. Flows that share it are linked.
 		byHash map[uint64]*flow
 		// open counts open flows, running those with a request in flight.
 		open, running   int
@@ -119,6 +119,8 @@
 		lastSeen time.Time
 		// running is true from a request until its response begins.
 		running bool
+		// sameHash is the next flow with the same hash; nil after the last.
+		sameHash *flow
 		// established is true once the flow is certainly open at the server:
 		// the client acknowledged the server's answer, or the server sent a
 		// packet of the open flow.
@@ -219,7 +221,11 @@
 	}
 	var have []byte
 	for b := r.Payload; len(b) >= keyLength; b = b[keyLength:] {
-		if f := h.byHash[binary.BigEndian.Uint64(b)]; f != nil && !h.expired(f, t) {
+		f := h.byHash[binary.BigEndian.Uint64(b)]
+		for f != nil && h.expired(f, t) {
+			f = f.sameHash
+		}
+		if f != nil {
 			have = append(have, b[:keyLength]...)
 		}
 	}
@@ -429,10 +435,27 @@
 func (h *FlowTable) evict(k balsampier.FlowKey, f *flow) {
 	h.removeFromCounts(f)
 	delete(h.flows, k)
-	delete(h.byHash, k.Hi)
+	first := h.byHash[k.Hi]
+	if first == f && f.sameHash == nil {
+		delete(h.byHash, k.Hi)
+		return
+	}
+	if first == f {
+		h.byHash[k.Hi] = f.sameHash
+		return
+	}
+	for x := first; x != nil; x = x.sameHash {
+		if x.sameHash == f {
+			x.sameHash = f.sameHash
+			return
+		}
+	}
 }
 
-func (h *FlowTable) insert(k balsampier.FlowKey, f *flow) { h.flows[k], h.byHash[k.Hi] = f, f }
+func (h *FlowTable) insert(k balsampier.FlowKey, f *flow) {
+	f.sameHash = h.byHash[k.Hi]
+	h.flows[k], h.byHash[k.Hi] = f, f
+}
 
 // removeFromCounts subtracts a flow from the counts of open flows and of
 // requests in flight.
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -1,6 +1,7 @@
 package hold_test
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"testing"
 	"time"
@@ -375,6 +376,42 @@
 	w.Assert(k, qt.Equals, balsampier.RelayAccepted)
 }
 
+// TestFlowsWithTheSameHash checks that a search finds a flow although another one
+// that shares its hash has ended and expired, whichever of them is older.
+func TestFlowsWithTheSameHash(t *testing.T) {
+	for _, p := range []struct {
+		name string
+		// kept is the index of the flow that goes on.
+		kept int
+	}{{"the first", 0}, {"the second", 1}, {"the third", 2}} {
+		t.Run(p.name, func(t *testing.T) {
+			w := newTestAgent(qt.New(t), true)
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
+			var flows []balsampier.Segment
+			for i := range 3 {
+				s := segment(true)
+				s.Key.Lo += uint64(i)
+				flows = append(flows, s)
+				w.relay(balsampier.RelayOpen, s, 9)
+			}
+			for range 4 {
+				w.t = w.t.Add(20 * time.Second)
+				s := flows[p.kept]
+				s.Opening = false
+				w.table.HandleServerPacket(s, []byte("packet"), w.t)
+				w.table.Tick(w.t)
+				w.table.PopActions()
+			}
+			w.table.HandleRelay(balancer, balsampier.Relay{
+				Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: 1}, Payload: binary.BigEndian.AppendUint64(nil, flows[0].Key.Hi),
+			}, balsampier.Segment{}, w.t)
+			as := w.table.PopActions()
+			w.Assert(as, qt.HasLen, 1)
+			w.Assert(as[0].Reply.Payload, qt.HasLen, 8)
+		})
+	}
+}
+
 // TestLateHeartbeatOfEndedServer checks that a heartbeat that arrives after its
 // server has ended, at an agent that has restarted meanwhile, is checked: the
 // server does not stay in use if nothing listens. A packet or a connection
