feat: a balancer refuses bulk openings while its link is congested

Thin links (8.4 Mbit/s) take the same share of uploads as links of 100 Mbit/s; their packets wait for longer than the 200 ms after which clients retransmit, so that the link carries each packet several times and stays full.

Ruled out: taking thin balancers out of the rotation (with fewer than half of a zone in rotation, routers use all; the remaining thin ones get twice as much).

Change: while more than half of the link is in use and agents' replies take over 50 ms, openings of routes whose flows carry 16 KB or more from their clients are reset at once: nothing has run, and the next flow may reach a balancer with room.

--- a/bench/loads/clients_test.go
+++ b/bench/loads/clients_test.go
@@ -90,6 +90,10 @@
 // closeFlow ends a flow at its client, which tries its request again.
 func (f *fleet) closeFlow(x *flow) {
 	x.closed = true
+	if x.upload != nil {
+		f.tryUpload(x.client, x.upload)
+		return
+	}
 	c := x.client
 	if c.flow == x {
 		c.flow = nil
@@ -120,7 +124,7 @@
 	i := f.routerChoice(x)
 	b := f.balancers[i]
 	p := f.encode(s)
-	d, ok := f.transmit(&b.in, packetHeadBytes+s.Length)
+	d, ok := f.transmit(b, &b.in, packetHeadBytes+s.Length)
 	if !ok {
 		return
 	}
@@ -167,6 +171,9 @@
 	case !known || s.Acknowledged-first > ackWindow:
 		s.Returned = true
 		f.after(100*time.Microsecond, func() { f.deliverFromServer(i, s) })
+	case s.Length == uploadPacketBytes:
+		// Each packet of an upload is acknowledged at once.
+		f.sendFromServer(i, s, balsampier.Segment{Ack: true, Sequence: first + 1, Acknowledged: s.Sequence}, 300*time.Microsecond)
 	case s.Length > 0:
 		w := workTime/2 + f.delay(workTime)
 		f.sendFromServer(i, s, balsampier.Segment{Ack: true, Sequence: first + 1, Length: 1200, Final: a.draining}, w)
@@ -189,6 +196,8 @@
 	x := f.flows[s.Client]
 	switch {
 	case x == nil || x.closed:
+	case x.upload != nil:
+		f.deliverToUpload(x, s)
 	case s.Opening:
 		if x.open {
 			return
--- a/bench/loads/fleet_test.go
+++ b/bench/loads/fleet_test.go
@@ -65,8 +65,10 @@
 		clients   []*client
 		// flows are all flows, by the address of their client.
 		flows map[netip.AddrPort]*flow
-		// linkRate is the rate of a balancer's link, in bytes per second.
-		linkRate float64
+		// uploads are all uploads, in order of their start.
+		uploads []*upload
+		// uploadFlows counts the flows of uploads.
+		uploadFlows int
 		// requests are all requests, in order of their start.
 		requests []*request
 		// sent counts the messages between balancers and agents, by kind, in
@@ -87,6 +89,8 @@
 		// cutOff is true while no view reaches the balancer.
 		cutOff  bool
 		in, out link
+		// linkRate is the rate of the link, in bytes per second.
+		linkRate float64
 		// tickAt is when the next tick is scheduled; zero if none is.
 		tickAt time.Time
 	}
@@ -124,6 +128,9 @@
 		open, closed   bool
 		serverSequence uint32
 		request        *request
+		// upload is set in flows of uploads only.
+		upload  *upload
+		packets *uploadFlow
 		// left is how many more requests the flow carries.
 		left int
 	}
@@ -160,15 +167,15 @@
 	return x
 }
 
-// newFleet returns a fleet of b balancers and a agents, of which a fifth have
-// the second service. All know the same view.
-func newFleet(seed uint64, b, a int, linkRate float64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, linkRate: linkRate, flows: make(map[netip.AddrPort]*flow)}
+// newFleet returns a fleet with a balancer for each link rate and with a agents,
+// of which a fifth have the second service. All know the same view.
+func newFleet(seed uint64, a int, linkRates []float64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: start, flows: make(map[netip.AddrPort]*flow)}
 	for i := range a {
 		f.addAgent(i%zones, min(i%5/4, 1), true)
 	}
-	for i := range b {
-		f.balancers = append(f.balancers, &balancer{addr: addrAt(balancerNet, i), zone: i % zones})
+	for i, r := range linkRates {
+		f.balancers = append(f.balancers, &balancer{addr: addrAt(balancerNet, i), zone: i % zones, linkRate: r})
 		f.startBalancer(i)
 	}
 	for _, x := range f.balancers {
@@ -289,7 +296,7 @@
 
 func (f *fleet) startBalancer(i int) {
 	b := f.balancers[i]
-	d := direct.New(direct.Config{DataCentre: zoneName(b.zone), LinkBytesPerSecond: f.linkRate})
+	d := direct.New(direct.Config{DataCentre: zoneName(b.zone), LinkBytesPerSecond: b.linkRate})
 	b.director, b.up = d, true
 	r := balsampier.RouteFile{Version: 1, IdleTimeout: 15 * time.Second}
 	for j, a := range routeAddrs {
@@ -365,16 +372,16 @@
 	})
 }
 
-// transmit returns the delay of n bytes on a link; ok is false if they are
-// dropped.
-func (f *fleet) transmit(l *link, n int) (d time.Duration, ok bool) {
+// transmit returns the delay of n bytes on a link of a balancer; ok is false if
+// they are dropped.
+func (f *fleet) transmit(b *balancer, l *link, n int) (d time.Duration, ok bool) {
 	if l.freeAt.Before(f.now) {
 		l.freeAt = f.now
 	}
 	if l.freeAt.Sub(f.now) > maxLinkDelay {
 		return 0, false
 	}
-	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / f.linkRate * float64(time.Second)))
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / b.linkRate * float64(time.Second)))
 	return l.freeAt.Sub(f.now) + propagation, true
 }
 
@@ -415,7 +422,7 @@
 	for _, a := range slices.Clone(b.director.PopActions()) {
 		switch {
 		case a.Reset != nil:
-			if d, ok := f.transmit(&b.out, packetHeadBytes); ok {
+			if d, ok := f.transmit(b, &b.out, packetHeadBytes); ok {
 				f.after(d, func() { f.resetFlow(a.Reset.Key, a.Reset.Client) })
 			}
 		case a.To.IsValid():
@@ -432,7 +439,7 @@
 	if r.Kind == balsampier.RelaySearch || r.Kind == balsampier.RelayCollect {
 		f.searchBytes[f.now.Sub(start)/time.Second] += f.relayBytes(r)
 	}
-	d, ok := f.transmit(&b.out, f.relayBytes(r))
+	d, ok := f.transmit(b, &b.out, f.relayBytes(r))
 	if !ok {
 		return
 	}
@@ -513,7 +520,7 @@
 	r.Payload = slices.Clone(r.Payload)
 	f.count(r.Kind)
 	b := f.balancers[i]
-	d, ok := f.transmit(&b.in, f.relayBytes(r))
+	d, ok := f.transmit(b, &b.in, f.relayBytes(r))
 	if !ok {
 		return
 	}
--- a/bench/loads/storm_test.go
+++ b/bench/loads/storm_test.go
@@ -1,6 +1,7 @@
 package loads_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 		end        = returnedBy + 2*time.Second
 	)
 	c := qt.New(t)
-	f := newFleet(1, 96, 204, thinLink)
+	f := newFleet(1, 204, slices.Repeat([]float64{thinLink}, 96))
 	f.addClients(6000, 2800)
 	f.after(lostAt, func() { f.losePower(downTime) })
 	f.run(end + deadline)
@@ -115,7 +116,7 @@
 	} {
 		t.Run(p.name, func(t *testing.T) {
 			c := qt.New(t)
-			f := newFleet(1, 96, 204, thinLink)
+			f := newFleet(1, 204, slices.Repeat([]float64{thinLink}, 96))
 			f.addClients(4000, 2200)
 			f.after(2*time.Second, func() { p.cause(f) })
 			end := p.lastTrouble + settleTime + 2*time.Second
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -100,6 +100,7 @@
 		flows   map[balsampier.FlowKey]*flow
 		// roundTrip is measured from the replies to openings and queries.
 		roundTrip roundTrip
+		linkUse   linkUse
 		// searches holds the pending searches, which ask all agents for flows.
 		searches searches
 		// parkedTotal is the number of parked packets of all flows.
@@ -124,6 +125,8 @@
 		// service is the service that the flow was placed in; empty for flows
 		// that were looked up.
 		service balsampier.ServiceName
+		// traffic is that of the flow's route; never nil.
+		traffic *traffic
 		// lastPacketAt is when the newest packet arrived. stateSince is when
 		// the flow was created, the newest lookup began or the flow became
 		// unassigned, whichever is latest.
@@ -241,6 +244,7 @@
 // HandlePacket decides on a client's packet that arrived at time t. It copies b
 // if the packet has to be parked.
 func (d *Director) HandlePacket(s balsampier.Segment, b []byte, t time.Time) {
+	d.linkUse.add(packetOverheadBytes+s.Length, t)
 	f, ok := d.flows[s.Key]
 	if ok && t.Sub(f.lastPacketAt) > d.flowTTL() {
 		d.evict(s.Key, f)
@@ -251,6 +255,7 @@
 		return
 	}
 	f.segment, f.lastPacketAt = s, t
+	f.traffic.bytes += s.Length
 	f.isEstablished = f.isEstablished || !s.Opening
 	switch {
 	case s.Opening && (f.state == stateOpening || f.state == stateOpen):
@@ -283,7 +288,13 @@
 		d.pendingActions = append(d.pendingActions, Action{Event: Event{Name: "dropped", Flow: s.Key, Segment: s, Reason: balsampier.ReasonFull}})
 		return
 	}
-	f := &flow{segment: s, lastPacketAt: t, stateSince: t, isEstablished: !s.Opening}
+	if s.Opening {
+		if d.refuseBulk(s, r) {
+			return
+		}
+		r.traffic.addFlow()
+	}
+	f := &flow{segment: s, lastPacketAt: t, stateSince: t, isEstablished: !s.Opening, traffic: r.traffic}
 	d.flows[s.Key] = f
 	d.park(f, b)
 	if s.Opening {
--- a/command/direct/routes.go
+++ b/command/direct/routes.go
@@ -24,6 +24,8 @@
 		targets []balsampier.Target
 		// totalWeight is the sum of the targets' weights; positive.
 		totalWeight int
+		// traffic is kept when the route changes.
+		traffic *traffic
 	}
 )
 
@@ -40,7 +42,10 @@
 		n.servicesSeen = make(map[netip.AddrPort][]balsampier.ServiceName)
 	}
 	for _, v := range r.Routes {
-		x := &route{targets: v.Targets}
+		x := &route{targets: v.Targets, traffic: new(traffic)}
+		if o := d.routes.routesByAddr[v.To]; o != nil {
+			x.traffic = o.traffic
+		}
 		for _, g := range v.Targets {
 			x.totalWeight += g.Weight
 			if !slices.Contains(n.servicesSeen[v.To], g.Service) {
