--- a/cmd/agent/datagram/agent_test.go
+++ b/cmd/agent/datagram/agent_test.go
@@ -116,6 +116,44 @@
 	c.Assert(os[0].data, qt.DeepEquals, accepted)
 }
 
+// TestCollect checks that the agent passes a search on to other agents, replies to
+// searches of others itself, and sends the balancer one reply for all of them.
+func TestCollect(t *testing.T) {
+	c := qt.New(t)
+	a := newTestAgent(c)
+	s := peer.NewSealer([]byte(testKey))
+	receive := func(from netip.AddrPort, r balsampier.Relay) []output {
+		b, err := s.SealRelay(nil, &r)
+		c.Assert(err, qt.IsNil)
+		a.handleInput(input{relay: fabric.Datagram{Payload: b, Caller: from, At: a.options.Clock.Now()}})
+		return a.popOutputs(c)
+	}
+	others := []netip.AddrPort{netip.MustParseAddrPort("192.0.2.21:7000"), netip.MustParseAddrPort("192.0.2.22:7000")}
+	os := receive(balancer, balsampier.Relay{
+		Kind: balsampier.RelayCollect, Flow: balsampier.FlowKey{Lo: 3}, Targets: others, Payload: []byte("12345678"),
+	})
+	c.Assert(os, qt.HasLen, 2)
+	for i, o := range os {
+		c.Assert(o.to, qt.Equals, others[i])
+		q, err := s.OpenRelay(o.data)
+		c.Assert(err, qt.IsNil)
+		c.Assert(q.Kind, qt.Equals, balsampier.RelaySearch)
+		c.Assert(string(q.Payload), qt.Equals, "12345678")
+		os := receive(others[i], balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: q.Flow, Payload: q.Payload[:8*i]})
+		c.Assert(os, qt.HasLen, i)
+		if i == 0 {
+			continue
+		}
+		c.Assert(os[0].to, qt.Equals, balancer)
+		r, err := s.OpenRelay(os[0].data)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.Kind, qt.Equals, balsampier.RelayCollected)
+		c.Assert(r.Flow.Lo, qt.Equals, uint64(3))
+		c.Assert(r.Results, qt.HasLen, 1)
+		c.Assert(r.Results[0].Agent, qt.Equals, others[1])
+	}
+}
+
 // TestHeartbeats checks that the agent accepts heartbeats of its own server only,
 // and that the member reported to control follows them.
 func TestHeartbeats(t *testing.T) {
