fix: a link that drops replies counts as congested too

Both directions share the link, so that half of it is reached only when it is full.

Change: a quarter of the openings without a reply in time counts as well, from 0.3 of the link on.

Before: a new case of TestBulkOpeningsAreRefused fails. After: it passes.

--- a/command/direct/congestion.go
+++ b/command/direct/congestion.go
@@ -17,9 +17,15 @@
 	// link may be congested: a quarter of the time after which clients
 	// retransmit, as the flows that are open already send on.
 	congestedRoundTrip = 50 * time.Millisecond
+	// congestedTimeouts is the share of the openings without a reply in time from
+	// which on it may be congested too: a full link drops replies.
+	congestedTimeouts = 0.25
+	// timeoutWeight is the inverse weight of one opening in that share.
+	timeoutWeight = 16
 	// congestedShare is the share of the link that must be in use as well:
-	// agents may also reply late for other reasons.
-	congestedShare = 0.5
+	// agents may also reply late for other reasons. Both directions carry each
+	// packet and may share the link, so that half of it is its whole.
+	congestedShare = 0.3
 	// linkWindow is the time over which the use of the link is measured.
 	linkWindow = 250 * time.Millisecond
 	// packetOverheadBytes is the length of a packet without its data, with what
@@ -77,5 +83,14 @@
 
 func (d *Director) isCongested() bool {
 	l := d.config.LinkBytesPerSecond
-	return l > 0 && d.roundTrip.smoothed > congestedRoundTrip && d.linkUse.rate > congestedShare*l
+	return l > 0 && d.linkUse.rate > congestedShare*l && (d.roundTrip.smoothed > congestedRoundTrip || d.timeoutShare > congestedTimeouts)
+}
+
+// countOpening records whether an opening got a reply in time.
+func (d *Director) countOpening(timedOut bool) {
+	x := 0.0
+	if timedOut {
+		x = 1
+	}
+	d.timeoutShare += (x - d.timeoutShare) / timeoutWeight
 }
--- a/command/direct/congestion_test.go
+++ b/command/direct/congestion_test.go
@@ -22,10 +22,13 @@
 		// packetBytes and packets are those of each flow so far.
 		packetBytes, packets int
 		replyTime            time.Duration
-		refused              bool
+		// lost is true if two of three replies are lost.
+		lost    bool
+		refused bool
 	}{
 		{name: "bulk on a congested link", link: thin, packetBytes: 1200, packets: 60, replyTime: 200 * time.Millisecond, refused: true},
 		{name: "bulk on a link with room", link: 100 * thin, packetBytes: 1200, packets: 60, replyTime: 200 * time.Millisecond},
+		{name: "bulk on a link that drops replies", link: thin, packetBytes: 1200, packets: 60, lost: true, refused: true},
 		{name: "bulk, replies are fast", link: thin, packetBytes: 1200, packets: 60, replyTime: 5 * time.Millisecond},
 		{name: "bulk, link without limit", packetBytes: 1200, packets: 60, replyTime: 200 * time.Millisecond},
 		{name: "small flows on a congested link", link: thin, packetBytes: 100, packets: 100, replyTime: 200 * time.Millisecond},
@@ -49,7 +52,13 @@
 					continue
 				}
 				w.advanceTime(p.replyTime)
-				w.d.HandleReply(at[0], balsampier.Relay{Kind: balsampier.RelayAccepted, Flow: s.Key}, w.t)
+				if p.lost {
+					w.advanceTime(45 * time.Millisecond)
+					at = relayTargets(w.advanceTime(45*time.Millisecond), balsampier.RelayOpen)
+				}
+				if len(at) > 0 {
+					w.d.HandleReply(at[0], balsampier.Relay{Kind: balsampier.RelayAccepted, Flow: s.Key}, w.t)
+				}
 				s.Opening, s.Length = false, p.packetBytes
 				for range p.packets {
 					w.d.HandlePacket(s, make([]byte, p.packetBytes), w.t)
--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -101,6 +101,9 @@
 		// roundTrip is measured from the replies to openings and queries.
 		roundTrip roundTrip
 		linkUse   linkUse
+		// timeoutShare is the smoothed share of openings without a reply in
+		// time.
+		timeoutShare float64
 		// searches holds the pending searches, which ask all agents for flows.
 		searches searches
 		// parkedTotal is the number of parked packets of all flows.
@@ -387,6 +390,7 @@
 func (d *Director) handleTimeout(f *flow, t time.Time) {
 	switch f.state {
 	case stateOpening:
+		d.countOpening(true)
 		d.agents.markSuspect(f.agent, t)
 		d.logEvent("silent", f, f.agent, balsampier.ReasonTimeout, 0)
 		f.excludedAgents = append(f.excludedAgents, f.agent)
--- a/command/direct/open.go
+++ b/command/direct/open.go
@@ -109,6 +109,7 @@
 	switch {
 	case f.state == stateOpening && f.agent == from:
 		d.recordRoundTrip(f, false, t)
+		d.countOpening(false)
 	case f.state == stateUnassigned && !f.isEstablished:
 		d.recordRoundTrip(f, true, t)
 		f.agent = from
