fix: control is told of a shutdown also when the drain has used up its time

The drain of a balancer waits as long as the process allows it in all, so that the notice started on a context that had expired, and the member stayed in the view until its lease ran out.

Before: TestLeaveAfterDrain fails.

--- a/control/renew.go
+++ b/control/renew.go
@@ -99,7 +99,8 @@
 }
 
 // Leave gives up the lease and notifies control. The member must not act on its
-// lease afterwards.
+// lease afterwards. The notice has a time-out of its own: a stop whose time is up
+// would otherwise leave the member in the view until its lease expires.
 func (s *Session) Leave(c context.Context) {
 	m, ok := s.o.Member()
 	if !ok {
@@ -108,7 +109,7 @@
 	s.mu.Lock()
 	s.ownLease.Leave()
 	s.mu.Unlock()
-	c, cancel := context.WithTimeout(c, leaveTimeout)
+	c, cancel := context.WithTimeout(context.WithoutCancel(c), leaveTimeout)
 	defer cancel()
 	if err := s.o.Client.Leave(c, m.Holder()); err != nil {
 		s.o.Logger.Warn().Err(err).Msg("failed to notify control of the shutdown; the lease will expire")
--- a/control/session_test.go
+++ b/control/session_test.go
@@ -23,10 +23,29 @@
 	// view is the view that the replicas send.
 	view balsampier.ViewDelta
 
+	// left is true once a call of Leave arrived in time.
+	left bool
+
 	mu    sync.Mutex
 	addrs []netip.AddrPort
 }
 
+// TestLeaveAfterDrain checks that control is told of a shutdown also if the time
+// of the drain before it is up.
+func TestLeaveAfterDrain(t *testing.T) {
+	c := qt.New(t)
+	f := &fakeControl{}
+	s, err := NewSession(Options{
+		Client: f, InstanceCount: 1, Clock: clock.System{}, Random: random.System{}, Logger: &log.Logger{Level: log.FatalLevel},
+		Member: func() (balsampier.Member, bool) { return balsampier.Member{ID: 9, Role: balsampier.RoleBalancer}, true },
+	})
+	c.Assert(err, qt.IsNil)
+	x, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Leave(x)
+	c.Assert(f.left, qt.IsTrue)
+}
+
 func (f *fakeControl) SetInstances(as []netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -37,7 +56,10 @@
 	return balsampier.Lease{}, nil
 }
 
-func (f *fakeControl) Leave(context.Context, balsampier.Holder) error { return nil }
+func (f *fakeControl) Leave(c context.Context, _ balsampier.Holder) error {
+	f.left = c.Err() == nil
+	return c.Err()
+}
 
 func (f *fakeControl) Watch(c context.Context, w balsampier.WatchRequest, send func(balsampier.WatchMessage) error) error {
 	f.mu.Lock()
