fix: the searches of all balancers spread over the agents as collectors

Found by reading: each balancer asked the first agent by address of each group of 48, so that 96 balancers asked the same five agents.

Before: TestCollectorsAreSpread counts 5 collectors for 200 searches. After: more than half of the agents, and none for a quarter of the searches.

--- a/command/direct/lookup_test.go
+++ b/command/direct/lookup_test.go
@@ -12,6 +12,9 @@
 	"github.com/balsampier/balsampier/command/direct"
 )
 
+// thinAgents is the number of agents of a thin world.
+const thinAgents = 200
+
 // sendUnknown sends a packet of each of n flows that the Director does not know
 // and returns the actions.
 func (w *world) sendUnknown(n int) []direct.Action {
@@ -26,14 +29,14 @@
 	return as
 }
 
-// newThinWorld returns a Director with n agents and a link of 2 Mbit/s.
-func newThinWorld(c *qt.C, n int) *world {
+// newThinWorld returns a Director with thinAgents agents and a link of 2 Mbit/s.
+func newThinWorld(c *qt.C) *world {
 	w := newWorld(c, 0)
 	w.d = direct.New(direct.Config{DataCentre: "lima-1", LinkBytesPerSecond: 250e3})
 	w.d.AdoptRoutes(balsampier.RouteFile{Version: 1, Routes: []balsampier.Route{{
 		Name: "r", To: routeAddr, Targets: []balsampier.Target{{Service: "reservas", Weight: 1}},
 	}}})
-	w.adoptView(1, n)
+	w.adoptView(1, thinAgents)
 	return w
 }
 
@@ -52,7 +55,7 @@
 		{name: "many flows, agents are silent", flows: 1000},
 	} {
 		t.Run(p.name, func(t *testing.T) {
-			w := newThinWorld(qt.New(t), 200)
+			w := newThinWorld(qt.New(t))
 			w.denyQueries(w.sendUnknown(p.flows))
 			bytes := 0
 			for range 100 {
@@ -109,7 +112,6 @@
 // collectors, that agents whose replies are missing are asked directly, and that
 // the flow is reset once all have replied.
 func TestCollectedSearch(t *testing.T) {
-	const agents = 200
 	for _, p := range []struct {
 		name string
 		// missing is the agent whose reply each collector lacks, silent the
@@ -122,10 +124,10 @@
 		{name: "all reply"},
 		{name: "a reply is missing in each group", missing: true, directly: 5},
 		{name: "one collector is silent", silent: 1, directly: balsampier.MaxCollectTargets},
-		{name: "all collectors are silent", silent: 5, directly: agents},
+		{name: "all collectors are silent", silent: 5, directly: thinAgents},
 	} {
 		t.Run(p.name, func(t *testing.T) {
-			w := newThinWorld(qt.New(t), agents)
+			w := newThinWorld(qt.New(t))
 			silent := p.silent
 			collects, searches, resets := w.search(2*time.Second, func(a direct.Action) *balsampier.Relay {
 				if silent > 0 {
@@ -144,10 +146,42 @@
 	}
 }
 
+// TestCollectorsAreSpread checks that the searches for different flows go to
+// different collectors: balancers that search at the same time must not all ask
+// the same few agents.
+func TestCollectorsAreSpread(t *testing.T) {
+	const searches = 200
+	c := qt.New(t)
+	asked := make(map[netip.AddrPort]int)
+	for i := range searches {
+		w := newThinWorld(c)
+		s := segment(false)
+		s.Client = netip.AddrPortFrom(client.Addr(), uint16(i+1))
+		s.Key = balsampier.NewFlowKey(s.Client, routeAddr, nil)
+		w.d.HandlePacket(s, []byte("packet"), w.t)
+		w.denyQueries(w.d.PopActions())
+		for range 10 {
+			for _, a := range w.advanceTime(10 * time.Millisecond) {
+				if a.To.IsValid() && a.Relay.Kind == balsampier.RelayCollect {
+					asked[a.To]++
+				}
+			}
+		}
+	}
+	most := 0
+	for _, n := range asked {
+		most = max(most, n)
+	}
+	// Each search asks five collectors, of which the smallest group has eight
+	// agents.
+	c.Assert(len(asked) > thinAgents/2, qt.IsTrue, qt.Commentf("%d collectors", len(asked)))
+	c.Assert(most < searches/4, qt.IsTrue, qt.Commentf("one collector for %d of %d searches", most, searches))
+}
+
 // TestCollectedHolder checks that a flow that a collector reports is found, and
 // that no other agent is searched then.
 func TestCollectedHolder(t *testing.T) {
-	w := newThinWorld(qt.New(t), 200)
+	w := newThinWorld(qt.New(t))
 	holder := agentAddr(7)
 	collects, searches, resets := w.search(time.Second, func(a direct.Action) *balsampier.Relay {
 		if !slices.Contains(a.Relay.Targets, holder) {
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -213,8 +213,9 @@
 			n = min(len(s.unsentAgents), balsampier.MaxCollectTargets)
 			r.Kind, r.Targets = balsampier.RelayCollect, s.unsentAgents[:n:n]
 		}
-		to := d.agents.collector(r.Targets, s.unsentAgents[0], t)
+		to := s.unsentAgents[0]
 		if s.collects {
+			to = d.agents.collector(r.Targets, s.keys[0], t)
 			s.groups[to] = r.Targets
 		}
 		d.pendingActions = append(d.pendingActions, Action{To: to, Relay: r})
@@ -232,16 +233,22 @@
 	}
 }
 
-// collector returns the first of the agents from which a reply is expected soon,
-// or the given one if there is none.
-func (g *agents) collector(as []netip.AddrPort, otherwise netip.AddrPort, t time.Time) netip.AddrPort {
-	for _, k := range as {
-		a := g.byAddr[k]
+// collector returns one of the agents, if possible one from which a reply is
+// expected soon. It depends on the flow, so that the searches of all balancers
+// spread over the agents.
+func (g *agents) collector(as []netip.AddrPort, k balsampier.FlowKey, t time.Time) netip.AddrPort {
+	var likely, all []*agent
+	for _, x := range as {
+		a := g.byAddr[x]
+		all = append(all, a)
 		if a.departedAt.IsZero() && !a.draining && a.missedSearches == 0 && !t.Before(a.suspectUntil) {
-			return k
+			likely = append(likely, a)
 		}
 	}
-	return otherwise
+	if len(likely) == 0 {
+		likely = all
+	}
+	return highestScored(k, likely, 1)[0].addr
 }
 
 // searchBatchBytes returns how many bytes of a search are sent at once.
