fix: agents know the balancers whose searches are passed on to them

Found by reading: an agent that stops behind its server notifies the balancers that it heard of. A balancer without the notice holds back resets for 20 s after an agent has left the view.

Change: a search that is passed on names its balancer.

Before: TestSearchersAreNotified fails for both kinds of searches. After: it passes.

--- a/bench/loads/fleet_test.go
+++ b/bench/loads/fleet_test.go
@@ -416,6 +416,10 @@
 		a.collector.HandleRequest(from, r, f.now)
 	case balsampier.RelayNotFound, balsampier.RelayUncertain:
 		a.collector.HandleReply(from, r)
+	case balsampier.RelayPassedSearch:
+		a.known[indexOf(r.Targets[0])] = true
+		r.Kind = balsampier.RelaySearch
+		a.table.HandleRelay(from, r, balsampier.Segment{}, f.now)
 	case balsampier.RelaySearch:
 		a.table.HandleRelay(from, r, balsampier.Segment{}, f.now)
 	default:
--- a/cmd/agent/datagram/agent_test.go
+++ b/cmd/agent/datagram/agent_test.go
@@ -137,7 +137,8 @@
 		c.Assert(o.to, qt.Equals, others[i])
 		q, err := s.OpenRelay(o.data)
 		c.Assert(err, qt.IsNil)
-		c.Assert(q.Kind, qt.Equals, balsampier.RelaySearch)
+		c.Assert(q.Kind, qt.Equals, balsampier.RelayPassedSearch)
+		c.Assert(q.Targets[0], qt.Equals, balancer)
 		c.Assert(string(q.Payload), qt.Equals, "12345678")
 		os := receive(others[i], balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: q.Flow, Payload: q.Payload[:8*i]})
 		c.Assert(os, qt.HasLen, i)
@@ -154,6 +155,35 @@
 	}
 }
 
+// TestSearchersAreNotified checks that balancers get a shutdown notice whose
+// searches reached the agent, also if another agent passed them on.
+func TestSearchersAreNotified(t *testing.T) {
+	other := netip.MustParseAddrPort("192.0.2.21:7000")
+	for _, p := range []struct {
+		name  string
+		from  netip.AddrPort
+		relay balsampier.Relay
+	}{
+		{"directly", balancer, balsampier.Relay{Kind: balsampier.RelaySearch, Payload: []byte("12345678")}},
+		{"passed on", other, balsampier.Relay{Kind: balsampier.RelayPassedSearch, Targets: []netip.AddrPort{balancer}, Payload: []byte("12345678")}},
+		{"to collect", balancer, balsampier.Relay{Kind: balsampier.RelayCollect, Targets: []netip.AddrPort{other}}},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			c := qt.New(t)
+			a := newTestAgent(c)
+			p.relay.Flow.Lo = 3
+			b, err := peer.NewSealer([]byte(testKey)).SealRelay(nil, &p.relay)
+			c.Assert(err, qt.IsNil)
+			a.handleInput(input{relay: fabric.Datagram{Payload: b, Caller: p.from, At: a.options.Clock.Now()}})
+			a.popOutputs(c)
+			a.notifyBalancers(context.Background())
+			os := a.popOutputs(c)
+			c.Assert(os, qt.HasLen, 1)
+			c.Assert(os[0].to, qt.Equals, balancer)
+		})
+	}
+}
+
 // TestHeartbeats checks that the agent accepts heartbeats of its own server only,
 // and that the member reported to control follows them.
 func TestHeartbeats(t *testing.T) {
--- a/cmd/agent/datagram/flows.go
+++ b/cmd/agent/datagram/flows.go
@@ -111,7 +111,17 @@
 		a.recordBalancer(d.Caller)
 		a.collector.HandleRequest(d.Caller, r, d.At)
 		return
+	case r.Kind == balsampier.RelayPassedSearch:
+		// The balancer counts on a shutdown notice although it did not ask
+		// itself.
+		for _, b := range r.Targets {
+			a.recordBalancer(b)
+		}
+		r.Kind = balsampier.RelaySearch
+		a.flows.HandleRelay(d.Caller, r, balsampier.Segment{}, d.At)
+		return
 	case r.Kind == balsampier.RelaySearch:
+		a.recordBalancer(d.Caller)
 		a.flows.HandleRelay(d.Caller, r, balsampier.Segment{}, d.At)
 		return
 	}
--- a/command/collect/collect.go
+++ b/command/collect/collect.go
@@ -80,7 +80,8 @@
 		expiresAt: t.Add(replyTimeout), pending: slices.Clone(r.Targets),
 	})
 	q := balsampier.Relay{
-		Kind: balsampier.RelaySearch, Flow: balsampier.FlowKey{Lo: c.lastNumber}, Revision: r.Revision, Payload: slices.Clone(r.Payload),
+		Kind: balsampier.RelayPassedSearch, Flow: balsampier.FlowKey{Lo: c.lastNumber}, Revision: r.Revision,
+		Targets: []netip.AddrPort{balancer}, Payload: slices.Clone(r.Payload),
 	}
 	for _, a := range r.Targets {
 		c.actions = append(c.actions, Action{To: a, Relay: q})
--- a/command/collect/collect_test.go
+++ b/command/collect/collect_test.go
@@ -65,7 +65,8 @@
 			c.Assert(as, qt.HasLen, len(targets))
 			for i, a := range as {
 				c.Assert(a.To, qt.Equals, targets[i])
-				c.Assert(a.Relay.Kind, qt.Equals, balsampier.RelaySearch)
+				c.Assert(a.Relay.Kind, qt.Equals, balsampier.RelayPassedSearch)
+				c.Assert(a.Relay.Targets[0], qt.Equals, balancer)
 				c.Assert(string(a.Relay.Payload), qt.Equals, string(flow))
 			}
 			for i, r := range p.replies {
--- a/peer/collect_test.go
+++ b/peer/collect_test.go
@@ -21,6 +21,7 @@
 	return []balsampier.Relay{
 		{Kind: balsampier.RelayCollect, Flow: number, Targets: []netip.AddrPort{agentV4, agentV6}, Payload: []byte("12345678")},
 		{Kind: balsampier.RelayCollect, Flow: number, Targets: []netip.AddrPort{agentV4}},
+		{Kind: balsampier.RelayPassedSearch, Flow: number, Targets: []netip.AddrPort{agentV4}, Payload: []byte("12345678")},
 		{Kind: balsampier.RelayCollected, Flow: number},
 		{Kind: balsampier.RelayCollected, Flow: number, Results: []balsampier.SearchResult{
 			{Agent: agentV4, Missing: true},
@@ -42,7 +43,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.CmpEquals(cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateEmpty()), r)
 	}
-	whole := appendResults(nil, collectRelays()[3].Results)
+	whole := appendResults(nil, collectRelays()[4].Results)
 	for n := range whole {
 		_, err := decodeResults(whole[:n])
 		c.Assert(balsampier.KindOf(err), qt.Equals, balsampier.KindInvalid, qt.Commentf("%d bytes", n))
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -19,7 +19,7 @@
 	m.Flows, m.Running, m.Slots = uint32(r.Load.Connections), uint32(r.Load.Running), uint32(r.Load.Slots)
 	m.Payload, m.LostNanos = r.Payload, uint64(r.SinceDeparture)
 	switch r.Kind {
-	case balsampier.RelayCollect:
+	case balsampier.RelayCollect, balsampier.RelayPassedSearch:
 		m.Payload = append(appendTargets(nil, r.Targets), r.Payload...)
 	case balsampier.RelayCollected:
 		m.Payload = appendResults(nil, r.Results)
@@ -59,12 +59,12 @@
 		},
 		Payload: m.GetPayload(), SinceDeparture: time.Duration(m.GetLostNanos()),
 	}
-	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayCollected) || m.GetReason() > uint32(balsampier.ReasonRouteChanged) || r.Flow.IsZero() || r.SinceDeparture < 0 {
+	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayPassedSearch) || m.GetReason() > uint32(balsampier.ReasonRouteChanged) || r.Flow.IsZero() || r.SinceDeparture < 0 {
 		return balsampier.Relay{}, errMalformed("open relay: the flow is missing, the kind or the reason is unknown, or the time since departure is negative")
 	}
 	var err error
 	switch r.Kind {
-	case balsampier.RelayCollect:
+	case balsampier.RelayCollect, balsampier.RelayPassedSearch:
 		r.Targets, r.Payload, err = decodeTargets(r.Payload)
 	case balsampier.RelayCollected:
 		r.Results, err = decodeResults(r.Payload)
--- a/relay.go
+++ b/relay.go
@@ -41,6 +41,9 @@
 	RelayCollect
 	// RelayCollected is the reply to RelayCollect.
 	RelayCollected
+	// RelayPassedSearch is a RelaySearch that an agent passes on for the
+	// balancer in Targets. The reply goes to the agent.
+	RelayPassedSearch
 )
 
 type (
@@ -68,15 +71,15 @@
 		SinceDeparture time.Duration
 		// Load is the load at the replying agent; set in replies only.
 		Load Load
-		// Targets are the agents to search in RelayCollect; at most
-		// MaxCollectTargets.
+		// Targets are the agents to search in RelayCollect, at most
+		// MaxCollectTargets, and the one balancer in RelayPassedSearch.
 		Targets []netip.AddrPort
 		// Results are the replies in RelayCollected that say more than that the
 		// agent certainly has none of the flows; at most MaxCollectTargets.
 		Results []SearchResult
 		// Payload is the packet in RelayOpen, RelayDeliver and RelayProbe, its
-		// header in RelayQuery, and hashes of flows in RelaySearch, its reply
-		// and RelayCollect. Other replies return the packet if it was not
+		// header in RelayQuery, and hashes of flows in RelaySearch, its reply,
+		// RelayPassedSearch and RelayCollect. Other replies return the packet if it was not
 		// delivered.
 		Payload []byte
 	}
@@ -106,12 +109,12 @@
 // String returns the name of the kind as used in logs and metrics.
 func (k RelayKind) String() string {
 	return [...]string{
-		"none", "open", "deliver", "try", "ask", "search", "took", "refused", "mine", "notMine", "unsure", "ended", "collect", "collected",
+		"none", "open", "deliver", "try", "ask", "search", "took", "refused", "mine", "notMine", "unsure", "ended", "collect", "collected", "passedSearch",
 	}[k]
 }
 
 // IsRequest reports whether relays of this kind are sent to agents by balancers,
 // or by agents that search for them.
 func (k RelayKind) IsRequest() bool {
-	return k > 0 && k < RelayAccepted || k == RelayCollect
+	return k > 0 && k < RelayAccepted || k == RelayCollect || k == RelayPassedSearch
 }
