--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -11,12 +11,11 @@
 )
 
 const (
-	// searchDelay is how long a search waits for more flows, so that one
-	// message to each agent covers many.
+	// searchDelay is how long a search waits for more flows, so that one search
+	// covers many.
 	searchDelay = 10 * time.Millisecond
-	// searchInterval is the minimum interval between searches. Each sends a
-	// message to every agent, and a small balancer handles a few hundred
-	// messages per second.
+	// searchInterval is the minimum interval between searches. Each costs every
+	// agent a message, whoever passes it on.
 	searchInterval = 60 * time.Millisecond
 	// searchTimeout is the shortest time-out for the replies to a search, after
 	// its last message was sent.
