fix: a submission that waits for a quorum ends when its instance stops

Cause (report of other operators): a stop of the thread that replicates left the proposals and reads that waited for it, and those in its ring, until their time-out of 4 s. An operator who had just submitted was held as long, and the process with him.

Change: the thread fails them as it ends: those that were proposed as unknown, the others as not accepted here.

Before: TestStopWithPendingSubmission fails.

--- a/cmd/control/app/control_test.go
+++ b/cmd/control/app/control_test.go
@@ -101,6 +101,31 @@
 	f.c.Assert(f.submit(unconfirmed), qt.Equals, balsampier.SubmissionAnswer{ID: unconfirmed.ID, Revision: winner.Revision})
 }
 
+// TestStopWithPendingSubmission checks that a submission that waits for a quorum
+// when its instance is stopped ends soon, and not with an answer: it may be
+// accepted yet, unless it was not proposed.
+func TestStopWithPendingSubmission(t *testing.T) {
+	f := newFleet(qt.New(t))
+	old := f.leader()
+	old.cut.Store(true)
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := old.Submit(context.Background(), newSubmission(0))
+		result <- err
+	}()
+	f.eventually("the submission waits for a quorum", func() bool {
+		return old.status.Load().Last > old.status.Load().Commit
+	})
+	old.kill()
+	select {
+	case err := <-result:
+		k := balsampier.KindOf(err)
+		f.c.Assert(k == balsampier.KindUnknown || k == balsampier.KindNotLeader, qt.IsTrue, qt.Commentf("%v", err))
+	case <-time.After(submitTimeout / 2):
+		f.c.Fatal("the submission still waits")
+	}
+}
+
 func newLeadingControl(c *qt.C) *Control {
 	n, err := replicate.New(replicate.Config{
 		Instance: 1, Peers: []balsampier.InstanceID{1}, Random: random.System{},
--- a/cmd/control/app/replicate.go
+++ b/cmd/control/app/replicate.go
@@ -100,6 +100,7 @@
 // replicate is the thread that owns the replicated log.
 func (t *Control) replicate(c context.Context) error {
 	var is [batchSize]input
+	defer t.stopReplicate()
 	for {
 		if err := t.dispatchOutput(c); err != nil {
 			return err
@@ -122,6 +123,23 @@
 	}
 }
 
+// stopReplicate ends the calls that wait for the replicate thread, which has
+// stopped.
+func (t *Control) stopReplicate() {
+	t.failPending()
+	t.inputs.Close()
+	var is [batchSize]input
+	for {
+		n, err := t.inputs.Pop(context.Background(), is[:])
+		if err != nil {
+			return
+		}
+		for _, i := range is[:n] {
+			refuseInput(i)
+		}
+	}
+}
+
 func (t *Control) handleInput(c context.Context, i input) error {
 	r := &t.replica
 	switch {
--- a/cmd/control/app/store.go
+++ b/cmd/control/app/store.go
@@ -124,6 +124,13 @@
 	r := &t.replica
 	r.node = nil
 	t.status.Store(t.closedStatus())
+	t.failPending()
+}
+
+// failPending fails all pending proposals and reads. A proposal may be committed
+// yet.
+func (t *Control) failPending() {
+	r := &t.replica
 	for x, p := range r.proposals {
 		p.outcome <- outcome{err: balsampier.NewError(balsampier.KindUnknown, "propose", "retry with the same ID", nil)}
 		delete(r.proposals, x)
