--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-in of the review's scripts. It needs the standard library only.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+GOWORK=off GOFLAGS=-mod=mod go build -o ../bin/standin .
