--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-in of the review's scripts. It needs the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-GOWORK=off GOFLAGS=-mod=mod go build -o ../bin/standin .
+GOWORK=off go build -buildvcs=false -o ../bin/standin .
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -16,6 +16,11 @@
 	requestTimeout = 2500 * time.Millisecond
 	drainTime      = 3 * time.Second
 	probeTime      = 500 * time.Millisecond
+	// The rule does not count flows that are older than flow_lifetime_s or were
+	// idle for longer than idle_timeout_ms.
+	flowLifetime = 60 * time.Second
+	idleTimeout  = 15 * time.Second
+	clientZone   = "coast-b"
 )
 
 type (
@@ -50,6 +55,10 @@
 		isReset, closed bool
 		holder          *host
 		run             int
+		// openedAt is when the flow was opened, lastUsedAt when its last answer
+		// came, idleFor how long it was idle before the request in progress.
+		openedAt, lastUsedAt time.Time
+		idleFor              time.Duration
 	}
 )
 
@@ -101,17 +110,30 @@
 	}
 }
 
-// pick returns the front machine for a flow.
+// pick returns the front machine for a flow of a client in clientZone. If fewer
+// than half of the zone's daemons are in rotation, all of them are used.
 func (r *router) pick(src, dst netip.AddrPort) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var all, in []int
+	for i, m := range r.missed {
+		if zoneOf(atFront, i) != clientZone {
+			continue
+		}
+		all = append(all, i)
+		if m < 2 {
+			in = append(in, i)
+		}
+	}
+	if 2*len(in) < len(all) {
+		in = all
+	}
 	best, bestHash := 0, uint64(0)
-	for i := range r.missed {
+	for _, i := range in {
 		h := fnv.New64a()
 		_, _ = fmt.Fprint(h, i, src, dst)
 		x := h.Sum64()
-		x = (x ^ x>>31) * 0x9e3779b97f4a7c15
-		if r.missed[i] < 2 && x >= bestHash {
+		if x = (x ^ x>>31) * 0x9e3779b97f4a7c15; x >= bestHash {
 			best, bestHash = i, x
 		}
 	}
@@ -195,6 +217,7 @@
 				f.seq++
 				f.ack = p.seq + 1
 				c.send(packet{flags: flagAck, src: f.src, dst: f.dst, seq: f.seq, ack: f.ack})
+				f.openedAt, f.lastUsedAt = time.Now(), time.Now()
 				return f
 			}
 		case <-first:
@@ -217,6 +240,7 @@
 	b := fmt.Appendf(nil, "POST /work HTTP/1.1\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 	send := func() { f.c.send(packet{flags: flagAck, src: f.src, dst: f.dst, seq: f.seq, ack: f.ack, data: b}) }
 	f.c.w.logf("client %v: sends request %s", f.src, id)
+	f.idleFor = time.Since(f.lastUsedAt)
 	send()
 	pause := 200 * time.Millisecond
 	again, end := time.NewTimer(pause), time.After(requestTimeout)
@@ -229,7 +253,7 @@
 				f.noteReset(id)
 				return false
 			case len(p.data) > 0 && p.ack == f.seq+uint32(len(b)):
-				f.seq, f.ack = p.ack, p.seq+uint32(len(p.data))
+				f.seq, f.ack, f.lastUsedAt = p.ack, p.seq+uint32(len(p.data)), time.Now()
 				a := packet{flags: flagAck, src: f.src, dst: f.dst, seq: f.seq, ack: f.ack}
 				if f.closed = p.has(flagFin); f.closed {
 					a.flags |= flagFin
@@ -254,6 +278,10 @@
 // never send resets.
 func (f *flow) noteReset(id string) {
 	f.isReset = true
+	if time.Since(f.openedAt) > flowLifetime || f.idleFor > idleTimeout {
+		f.c.w.logf("client %v: RESET during request %s; the flow is too old or was idle for too long to count", f.src, id)
+		return
+	}
 	for _, h := range f.c.w.hosts {
 		h.mu.Lock()
 		run := h.run
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -139,7 +139,7 @@
 		}
 		name := h.name()
 		b, _ := json.Marshal(map[string]any{
-			"service": h.service, "address": h.w.addr(atSide, h.i, portHost), "zone": fmt.Sprintf("zone-%d", h.i%3), "version": "v1",
+			"service": h.service, "address": h.w.addr(atSide, h.i, portHost), "zone": zoneOf(atSide, h.i), "version": "v1",
 			"slots": 5, "state": state, "cold_remaining_ms": 0, "sequence": h.sequence, "born": h.born.UnixMilli(),
 		})
 		url := fmt.Sprintf("http://%s/Instances.Heartbeat/i-%d-%d", h.w.addr(atSide, h.i, portControl), h.i+1, run)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,11 +26,11 @@
 	totalTime = 110 * time.Second
 	startTime = 20 * time.Second
 	// flowCount long flows carry a request every flowPause each.
-	flowCount = 240
+	flowCount = 600
 	flowPause = 2 * time.Second
-	// seedFronts front machines have a disk, and as many have none.
-	seedFronts = 3
-	seedWait   = 60 * time.Second
+	// seedWait is how long requests are sent in vain before none counts as served.
+	seedWait     = 45 * time.Second
+	seedRequests = 20
 	// clockStep is the largest in the site files, but for one of 2.6 s.
 	clockStep = 2400 * time.Millisecond
 )
@@ -63,7 +66,17 @@
 		w.close()
 		os.Exit(exitNotRun)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := f(w, os.Getenv("TROUBLE") != "0")
+	if err == nil {
+		err = w.unexpectedExit()
+	}
 	switch {
 	case err != nil:
 		w.logf("the case could not run: %v", err)
@@ -79,35 +92,109 @@
 	return exitHeld
 }
 
+// unexpectedExit returns an error if a process ended that nobody stopped.
+func (w *world) unexpectedExit() error {
+	for _, p := range w.processes {
+		p.mu.Lock()
+		n := p.exits
+		p.mu.Unlock()
+		if n > 0 {
+			return fmt.Errorf("%s ended by itself", p.name)
+		}
+	}
+	return nil
+}
+
+// The machines of the sheet of fraser-fold, in the order of their zones: the first
+// front machine of each zone has a disk, and the first two run control.
+var (
+	frontZones = []string{"coast-a", "coast-a", "coast-b", "coast-b", "coast-b", "coast-c", "coast-c", "coast-d", "coast-d"}
+	sideZones  = []string{"coast-a", "coast-a", "coast-b", "coast-b", "coast-c", "coast-c", "coast-d", "coast-a", "coast-b", "coast-c", "coast-d"}
+	services   = []string{"pleat-status", "pattern-sheets"}
+)
+
+const (
+	// statusHosts of the side machines, the first ones, have a host of
+	// pleat-status, the others one of pattern-sheets.
+	statusHosts = 7
+	callers     = 8
+	// rolledFront is a front machine that runs a balancer only, in the zone of
+	// the clients.
+	rolledFront = 4
+)
+
+func zoneOf(kind, i int) string {
+	switch kind {
+	case atFront:
+		return frontZones[i]
+	case atSide:
+		return sideZones[i]
+	}
+	return ""
+}
+
+func serviceOf(side int) string {
+	if side < statusHosts {
+		return services[0]
+	}
+	return services[1]
+}
+
+// placeInZone returns the place of a front machine in the order of its zone.
+func placeInZone(i int) int {
+	n := 0
+	for _, z := range frontZones[:i] {
+		if z == frontZones[i] {
+			n++
+		}
+	}
+	return n
+}
+
+// controlAddrs returns the control addresses of the front machines at one place of
+// their zones: 0 for those with a disk, 1 for those without.
+func (w *world) controlAddrs(place int) []string {
+	var as []string
+	for i := range frontZones {
+		if placeInZone(i) == place {
+			as = append(as, w.addr(atFront, i, portControl))
+		}
+	}
+	return as
+}
+
 // deployment holds the parts of a small deployment.
 type deployment struct {
-	fronts              int
-	controls, balancers []*process
-	agents              []*process
-	callers             []*client
+	w         *world
+	balancers []*process
+	agents    []*process
+	callers   []*client
 }
 
-// startProcesses starts n front machines with control and a balancer each, of which
-// the first have a disk, and m side machines with an agent.
-func (w *world) startProcesses(n, disks, m int) (*deployment, error) {
-	d := &deployment{fronts: n}
-	for i := range n {
-		var more map[string]any
-		if i < disks {
-			more = map[string]any{"data_dir": fmt.Sprintf("%s/data-%d", w.folder, i)}
-		}
-		c, err := w.newProcess("control", "frontend", atFront, i, more)
-		if err != nil {
-			return nil, err
+// startProcesses starts the processes of all machines. The three seeds are at the
+// given place of their zones.
+func (w *world) startProcesses(seedPlace int) (*deployment, error) {
+	w.seeds = w.controlAddrs(seedPlace)[:3]
+	w.controls = append(w.controlAddrs(0), w.controlAddrs(1)...)
+	d := &deployment{w: w}
+	for i := range frontZones {
+		if n := placeInZone(i); n < 2 {
+			var more map[string]any
+			if n == 0 {
+				more = map[string]any{"data_dir": fmt.Sprintf("%s/data-%d", w.folder, i)}
+			}
+			if _, err := w.newProcess("control", "frontend", atFront, i, more); err != nil {
+				return nil, err
+			}
 		}
 		b, err := w.newProcess("balancer", "frontend", atFront, i, nil)
 		if err != nil {
 			return nil, err
 		}
-		d.controls, d.balancers = append(d.controls, c), append(d.balancers, b)
+		d.balancers = append(d.balancers, b)
 	}
-	for i := range m {
-		a, err := w.newProcess("agent", "side", atSide, i, map[string]any{"service": "svc-a", "app": w.addr(atSide, i, portHost)})
+	for i := range sideZones {
+		a, err := w.newProcess("agent", "side", atSide, i, map[string]any{"service": serviceOf(i), "app": w.addr(atSide, i, portHost)})
 		if err != nil {
 			return nil, err
 		}
@@ -122,53 +209,43 @@
 	return d, nil
 }
 
-// startHosts starts m hosts, by start unless it is nil.
-func (w *world) startHosts(m int, start func(h *host) error) error {
+// startHostsAndClients starts the hosts, by start unless it is nil, the clients and
+// the probes of the router.
+func (d *deployment) startHostsAndClients(start func(h *host) error) error {
 	if start == nil {
 		start = func(h *host) error { return h.startRun(time.Now()) }
 	}
-	for i := range m {
-		h := w.newHost(i, "svc-a")
-		w.hosts = append(w.hosts, h)
+	for i := range sideZones {
+		h := d.w.newHost(i, serviceOf(i))
+		d.w.hosts = append(d.w.hosts, h)
 		if err := start(h); err != nil {
 			return err
 		}
 	}
-	return nil
-}
-
-func (w *world) startClients(d *deployment, n int) error {
-	for i := range n {
-		c, err := w.newClient(i)
+	for i := range callers {
+		c, err := d.w.newClient(i)
 		if err != nil {
 			return err
 		}
 		d.callers = append(d.callers, c)
 	}
+	d.w.router.probe(len(frontZones), make(chan struct{}))
 	return nil
 }
 
-// startDeployment starts n front machines with disks, m side machines with hosts,
-// and clients, and waits until the balancers are ready.
-func (w *world) startDeployment(n, m, clients int, startHost func(h *host) error) (*deployment, error) {
-	for i := range n {
-		w.seeds = append(w.seeds, w.addr(atFront, i, portControl))
-	}
-	d, err := w.startProcesses(n, n, m)
+// startDeployment starts everything and waits until the balancers are ready.
+func (w *world) startDeployment(startHost func(h *host) error) (*deployment, error) {
+	d, err := w.startProcesses(0)
 	if err != nil {
 		return nil, err
 	}
-	if err := w.startHosts(m, startHost); err != nil {
-		return nil, err
-	}
-	if err := w.startClients(d, clients); err != nil {
+	if err := d.startHostsAndClients(startHost); err != nil {
 		return nil, err
 	}
-	w.router.probe(n, make(chan struct{}))
-	if !w.putConfig(1, []string{"svc-a"}, startTime) {
+	if !w.putConfig(1, services, startTime) {
 		return nil, errors.New("no configuration was acknowledged")
 	}
-	for end := time.Now().Add(startTime); w.router.ready() < n; time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(startTime); w.router.ready() < len(frontZones); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			return nil, errors.New("the balancers did not get ready")
 		}
@@ -176,19 +253,35 @@
 	return d, nil
 }
 
-// openFlows opens n flows, spread over the clients, and serves one request on each.
+// openFlows opens n flows, the same number by each client, and serves one request
+// on each.
 func (d *deployment) openFlows(n int) ([]*flow, error) {
-	var fs []*flow
-	for i, end := 0, time.Now().Add(startTime); len(fs) < n; i++ {
-		if time.Now().After(end) {
-			return nil, fmt.Errorf("only %d of %d flows could be opened", len(fs), n)
-		}
-		if f := d.callers[i%len(d.callers)].open(); f != nil && f.request() {
-			fs = append(fs, f)
-			continue
-		}
-		time.Sleep(50 * time.Millisecond)
+	var (
+		mu sync.Mutex
+		fs []*flow
+		g  sync.WaitGroup
+	)
+	end := time.Now().Add(startTime)
+	for _, c := range d.callers {
+		g.Go(func() {
+			for k := 0; k < n/len(d.callers) && time.Now().Before(end); {
+				f := c.open()
+				if f == nil || !f.request() {
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
+				k++
+				mu.Lock()
+				fs = append(fs, f)
+				mu.Unlock()
+			}
+		})
 	}
+	g.Wait()
+	if len(fs) < n {
+		return nil, fmt.Errorf("only %d of %d flows could be opened", len(fs), n)
+	}
+	d.w.logf("clients: %d flows are open", n)
 	return fs, nil
 }
 
@@ -231,7 +324,7 @@
 	if !trouble {
 		step = 0
 	}
-	d, err := w.startDeployment(3, 3, 4, func(h *host) error {
+	d, err := w.startDeployment(func(h *host) error {
 		born := time.Now()
 		if h.i == 0 {
 			born = born.Add(step)
@@ -291,7 +384,7 @@
 // more before the next heartbeat of its host; a balancer is stopped as well, so
 // that its flows go through others.
 func agentStoppedBeforeHeartbeat(w *world, trouble bool) (bool, error) {
-	d, err := w.startDeployment(3, 3, 4, nil)
+	d, err := w.startDeployment(nil)
 	if err != nil {
 		return false, err
 	}
@@ -299,9 +392,8 @@
 	if err != nil {
 		return false, err
 	}
-	w.logf("clients: %d flows are open", len(fs))
 	used := make(chan struct{})
-	end := time.Now().Add(14 * time.Second)
+	end := time.Now().Add(10 * time.Second)
 	go func() {
 		defer close(used)
 		keepUsing(fs, flowPause, end)
@@ -321,12 +413,12 @@
 	return brokenFlows(w, fs) > 0, nil
 }
 
-// moveFlows stops balancer 1 for good and waits until the router sends its flows
-// to the others.
+// moveFlows stops the balancer of one machine, and starts it again a second after
+// it has ended. It returns when the router sends its flows to the others.
 func (d *deployment) moveFlows() {
-	b := d.balancers[0]
-	go b.end(syscall.SIGTERM)
-	for b.w.router.ready() == d.fronts {
+	b := d.balancers[rolledFront]
+	go func() { _ = b.restart(syscall.SIGTERM, time.Second) }()
+	for d.w.router.ready() == len(frontZones) {
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -334,7 +426,7 @@
 // agentStoppedBesideDrainingHost: a host drains; its agent is stopped and started
 // at once, while a balancer is stopped too. The host serves on meanwhile.
 func agentStoppedBesideDrainingHost(w *world, trouble bool) (bool, error) {
-	d, err := w.startDeployment(3, 4, 4, nil)
+	d, err := w.startDeployment(nil)
 	if err != nil {
 		return false, err
 	}
@@ -342,9 +434,8 @@
 	if err != nil {
 		return false, err
 	}
-	w.logf("clients: %d flows are open", len(fs))
 	used := make(chan struct{})
-	end := time.Now().Add(14 * time.Second)
+	end := time.Now().Add(10 * time.Second)
 	go func() {
 		defer close(used)
 		keepUsing(fs, flowPause, end)
@@ -363,31 +454,32 @@
 }
 
 // seedsAreRelays: the three seeds of the first start are control instances without
-// a disk. Three others have one.
+// a disk.
 func seedsAreRelays(w *world, trouble bool) (bool, error) {
-	first := 0
+	place := 0
 	if trouble {
-		first = seedFronts
-	}
-	for i := range seedFronts {
-		w.seeds = append(w.seeds, w.addr(atFront, first+i, portControl))
+		place = 1
 	}
-	d, err := w.startProcesses(2*seedFronts, seedFronts, 3)
+	d, err := w.startProcesses(place)
 	if err != nil {
 		return false, err
 	}
-	if err := w.startHosts(3, nil); err != nil {
-		return false, err
-	}
-	if err := w.startClients(d, 4); err != nil {
+	if err := d.startHostsAndClients(nil); err != nil {
 		return false, err
 	}
-	w.router.probe(2*seedFronts, make(chan struct{}))
-	if !w.putConfig(1, []string{"svc-a"}, seedWait) {
-		w.logf("judge: no configuration is acknowledged and %d balancers are ready after %v", w.router.ready(), seedWait)
-		return true, nil
+	go w.putConfig(1, services, seedWait)
+	var served, failed atomic.Int64
+	var g sync.WaitGroup
+	for end, c := time.Now().Add(seedWait), d.callers[0]; time.Now().Before(end) && served.Load() < seedRequests; time.Sleep(100 * time.Millisecond) {
+		g.Go(func() {
+			if f := c.open(); f != nil && f.request() {
+				served.Add(1)
+				return
+			}
+			failed.Add(1)
+		})
 	}
-	fs, err := d.openFlows(20)
-	w.logf("judge: %d flows are served", len(fs))
-	return false, err
+	g.Wait()
+	w.logf("judge: %d requests were served and %d were not", served.Load(), failed.Load())
+	return served.Load() == 0, nil
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -13,23 +13,25 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// Ports of the platform; they are the same on all machines.
 const (
-	portHost      = 8165
-	portOutbound  = 8162
-	portControl   = 8166
-	portReady     = 8167
-	portPackets   = 8172
-	portInternal  = 7720
-	routePort     = 8443
 	graceTimeout  = 6 * time.Second
 	heartbeatTime = 1200 * time.Millisecond
+	routePort     = 8443
 )
 
+// Ports of the platform; they are the same on all machines of a run.
+var portHost, portOutbound, portControl, portReady, portPackets, portInternal int
+
+func setPorts(offset int) {
+	portOutbound, portHost, portControl = 8162+offset, 8165+offset, 8166+offset
+	portReady, portPackets, portInternal = 8167+offset, 8172+offset, 7720+offset
+}
+
 // Kinds of addresses: the third byte of a loopback address.
 const (
 	atFront = iota + 1
@@ -45,6 +47,8 @@
 		root, folder string
 		subnet       int
 		start        time.Time
+		// closed is true once no process may be started any more.
+		closed atomic.Bool
 
 		recordMu sync.Mutex
 		record   *os.File
@@ -52,8 +56,9 @@
 		processes []*process
 		router    *router
 		hosts     []*host
-		// seeds are the control addresses in the settings files.
-		seeds []string
+		// seeds are the control addresses in the settings files, controls those
+		// of all machines that serve control: the operator's list.
+		seeds, controls []string
 	}
 
 	// process is one program of the system on one machine.
@@ -85,11 +90,12 @@
 		return nil, err
 	}
 	w := &world{root: root, folder: f, start: time.Now(), record: r}
-	for w.subnet = 20 + os.Getpid()%200; ; w.subnet++ {
-		if w.subnet > 250 {
-			return nil, errors.New("no free loopback subnet")
+	w.subnet = 20 + os.Getpid()%200
+	for offset := 0; ; offset += 1000 {
+		if offset > 40_000 {
+			return nil, errors.New("no free ports")
 		}
-		if w.subnetIsFree() {
+		if setPorts(offset); w.portsAreFree() {
 			break
 		}
 	}
@@ -97,14 +103,22 @@
 	return w, nil
 }
 
-// subnetIsFree reports whether nothing listens at the first front machine.
-func (w *world) subnetIsFree() bool {
-	for _, p := range []int{portControl, portReady, portInternal} {
-		l, err := net.Listen("tcp", w.addr(atFront, 0, p))
-		if err != nil {
-			return false
+// portsAreFree reports whether the ports can be bound at the first machine of each
+// kind.
+func (w *world) portsAreFree() bool {
+	for _, p := range []int{portOutbound, portHost, portControl, portReady, portPackets, portInternal} {
+		for _, k := range []int{atFront, atSide, atClient} {
+			l, err := net.Listen("tcp", w.addr(k, 0, p))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+			u, err := net.ListenPacket("udp", w.addr(k, 0, p))
+			if err != nil {
+				return false
+			}
+			_ = u.Close()
 		}
-		_ = l.Close()
 	}
 	return true
 }
@@ -126,10 +140,15 @@
 
 // close kills all processes and removes the temporary folder.
 func (w *world) close() {
+	w.closed.Store(true)
+	var ended sync.WaitGroup
 	for _, p := range w.processes {
-		p.end(syscall.SIGKILL)
-		_ = p.log.Close()
+		ended.Go(func() {
+			p.end(syscall.SIGKILL)
+			_ = p.log.Close()
+		})
 	}
+	ended.Wait()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.folder)
 	}
@@ -139,7 +158,7 @@
 // newProcess writes the settings of a process from its template in deploy/.
 func (w *world) newProcess(program, kind string, at, i int, more map[string]any) (*process, error) {
 	v := map[string]any{
-		"node_name": fmt.Sprintf("%s-%d", kind, i+1), "ip": w.ip(at, i), "zone": fmt.Sprintf("zone-%d", i%3),
+		"node_name": fmt.Sprintf("%s-%d", kind, i+1), "ip": w.ip(at, i), "zone": zoneOf(at, i),
 		"listen": map[string]any{
 			"ready": w.addr(at, i, portReady), "control": w.addr(at, i, portControl),
 			"packet_addr": w.addr(at, i, portPackets), "outbound": w.addr(at, i, portOutbound),
@@ -177,6 +196,9 @@
 func (p *process) run() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.w.closed.Load() {
+		return errors.New("the run has ended")
+	}
 	c := exec.Command(filepath.Join(p.w.root, "target", p.program), "run", "--config", p.settings)
 	c.Dir, c.Stdout, c.Stderr = p.w.root, p.log, p.log
 	if err := c.Start(); err != nil {
@@ -236,27 +258,32 @@
 // putConfig sends a configuration until it is acknowledged, to one daemon after
 // the other, and returns when it was. It gives up after the limit.
 func (w *world) putConfig(version int, services []string, limit time.Duration) bool {
-	var ss []map[string]any
-	for _, s := range services {
+	var ss, rs []map[string]any
+	for i, s := range services {
 		ss = append(ss, map[string]any{"name": s, "health_path": "/health", "max_connections": 2000, "protocol": "h1", "tls": false})
+		rs = append(rs, map[string]any{
+			"name": fmt.Sprintf("r-%d", i+1), "hostname": w.ip(atRoute, i), "path_prefix": fmt.Sprintf("/%d/", routePort), "type": "unsafe",
+			"timeout_ms": 2500, "target_latency_ms": 250, "priority": 1, "service": s, "attempts": 2,
+		})
 	}
 	b, _ := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-1", "hostname": w.ip(atRoute, 0), "path_prefix": fmt.Sprintf("/%d/", routePort), "type": "unsafe",
-			"timeout_ms": 2500, "target_latency_ms": 250, "priority": 1, "service": services[0], "attempts": 2,
-		}},
-		"services": ss,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"version": version, "routes": rs, "services": ss,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	h := http.Client{Timeout: time.Second}
+	// Callers follow a 307 twice.
+	h := http.Client{Timeout: time.Second, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > 2 {
+			return http.ErrUseLastResponse
+		}
+		return nil
+	}}
 	for i, end := 0, time.Now().Add(limit); time.Now().Before(end); i++ {
-		r, err := h.Post("http://"+w.seeds[i%len(w.seeds)]+"/Config.Put", "application/json", bytes.NewReader(b))
+		r, err := h.Post("http://"+w.controls[i%len(w.controls)]+"/Config.Put", "application/json", bytes.NewReader(b))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, r.Body)
 			_ = r.Body.Close()
 			if r.StatusCode == http.StatusOK {
-				w.logf("operator: configuration %d acknowledged by %s", version, w.seeds[i%len(w.seeds)])
+				w.logf("operator: configuration %d acknowledged by %s", version, w.controls[i%len(w.controls)])
 				return true
 			}
 		}
