--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -204,6 +204,7 @@
 	sentTimesMu.Lock()
 	sentTimes[f.src] = time.Now()
 	sentTimesMu.Unlock()
+	c.w.logf("client %v: opens a flow", f.src)
 	syn := func(copies uint32) { c.send(packet{flags: flagSyn, src: f.src, dst: f.dst, seq: f.seq, ack: copies}) }
 	syn(0)
 	first, second, end := time.After(200*time.Millisecond), time.After(600*time.Millisecond), time.After(openTimeout)
@@ -212,6 +213,7 @@
 		case p := <-f.replies:
 			switch {
 			case p.has(flagRst):
+				c.w.logf("client %v: the opening is reset", f.src)
 				return nil
 			case p.has(flagSyn):
 				f.seq++
@@ -225,6 +227,7 @@
 		case <-second:
 			syn(2)
 		case <-end:
+			c.w.logf("client %v: the opening is not answered", f.src)
 			return nil
 		}
 	}
