--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -252,9 +252,13 @@
 		select {
 		case p := <-f.replies:
 			switch {
-			case p.has(flagRst):
+			case p.ofSystem:
 				f.noteReset(id)
 				return false
+			case p.has(flagRst):
+				f.c.w.logf("client %v: request %s is reset by the host", f.src, id)
+				f.closed = true
+				return false
 			case len(p.data) > 0 && p.ack == f.seq+uint32(len(b)):
 				f.seq, f.ack, f.lastUsedAt = p.ack, p.seq+uint32(len(p.data)), time.Now()
 				a := packet{flags: flagAck, src: f.src, dst: f.dst, seq: f.seq, ack: f.ack}
@@ -277,8 +281,7 @@
 	}
 }
 
-// noteReset records a reset and which host holds the flow. Hosts of this stand-in
-// never send resets.
+// noteReset records a reset of the system and which host holds the flow.
 func (f *flow) noteReset(id string) {
 	f.isReset = true
 	if time.Since(f.openedAt) > flowLifetime || f.idleFor > idleTimeout {
--- a/review/standin/host.go
+++ b/review/standin/host.go
@@ -14,8 +14,16 @@
 	"time"
 )
 
-// workTime is the running time of a request at a host.
-const workTime = 20 * time.Millisecond
+const (
+	// workTime is the running time of a request at a host.
+	workTime = 22 * time.Millisecond
+	slots    = 3
+	// A host sends an answer again after the first pause, which doubles up to the
+	// longest one, and gives up after so many repeats.
+	firstRepeat   = 200 * time.Millisecond
+	longestRepeat = 1600 * time.Millisecond
+	maxRepeats    = 8
+)
 
 type (
 	// host is the stand-in of a host beside an agent. It holds flows and answers
@@ -40,8 +48,9 @@
 		answered int
 		// drainAckedAt is when the drain was acknowledged; zero before.
 		drainAckedAt time.Time
-		// taken counts new flows, late those whose opening packet was sent and
-		// arrived more than drain_ms after the acknowledgement of the drain.
+		// taken counts flows that opened here, late those whose opening packet was
+		// sent and arrived more than drain_ms after the acknowledgement of the
+		// drain.
 		taken, late int
 		// beatNow requests a heartbeat at once.
 		beatNow chan struct{}
@@ -58,6 +67,10 @@
 		// answer is the response to the request that ended at next.
 		answer []byte
 		sent   uint32
+		// acked is the highest sequence number that the client acknowledged.
+		acked uint32
+		// arrivedAt is when the opening packet arrived.
+		arrivedAt time.Time
 	}
 )
 
@@ -140,7 +153,7 @@
 		name := h.name()
 		b, _ := json.Marshal(map[string]any{
 			"service": h.service, "address": h.w.addr(atSide, h.i, portHost), "zone": zoneOf(atSide, h.i), "version": "v1",
-			"slots": 5, "state": state, "cold_remaining_ms": 0, "sequence": h.sequence, "born": h.born.UnixMilli(),
+			"slots": slots, "state": state, "cold_remaining_ms": 0, "sequence": h.sequence, "born": h.born.UnixMilli(),
 		})
 		url := fmt.Sprintf("http://%s/Instances.Heartbeat/i-%d-%d", h.w.addr(atSide, h.i, portControl), h.i+1, run)
 		h.mu.Unlock()
@@ -153,10 +166,11 @@
 		}
 		h.w.logf("%s: heartbeat %s answered %d", name, state, status)
 		h.mu.Lock()
-		if status == http.StatusOK {
+		acked := status/100 == 2
+		if acked {
 			h.answered++
 		}
-		if state == "draining" && status == http.StatusOK && h.run == run && h.drainAckedAt.IsZero() {
+		if state == "draining" && acked && h.run == run && h.drainAckedAt.IsZero() {
 			h.drainAckedAt = time.Now()
 		}
 		h.mu.Unlock()
@@ -214,9 +228,8 @@
 	switch {
 	case p.has(flagSyn):
 		if f == nil {
-			f = &hostFlow{seq: rand.Uint32(), next: p.seq + 1}
+			f = &hostFlow{seq: rand.Uint32(), next: p.seq + 1, arrivedAt: time.Now()}
 			h.flows[p.src] = f
-			h.take(p)
 		}
 		h.send(u, packet{flags: flagSyn | flagAck, src: p.dst, dst: p.src, seq: f.seq, ack: p.seq + 1})
 	case f == nil || !f.open && p.ack != f.seq+1:
@@ -229,22 +242,26 @@
 	case f.closed && len(p.data) > 0:
 		h.send(u, packet{flags: flagRst, src: p.dst, dst: p.src, seq: f.nextSeq()})
 	default:
-		f.open = true
+		if !f.open {
+			f.open = true
+			h.take(p.src, f.arrivedAt)
+		}
+		f.acked = p.ack
 		h.serve(u, f, p)
 	}
 }
 
-// take counts a new flow. The data of no packet has a time: the client records
-// when it sent the opening packet.
-func (h *host) take(p packet) {
+// take counts a flow that opened, by its opening packet. No packet carries a time:
+// the client records when it sent the opening packet.
+func (h *host) take(src netip.AddrPort, arrivedAt time.Time) {
 	h.taken++
-	sentAt, now := h.w.sentAt(p.src), time.Now()
-	late := !h.drainAckedAt.IsZero() && sentAt.Sub(h.drainAckedAt) > drainTime
+	sentAt := h.w.sentAt(src)
+	late := !h.drainAckedAt.IsZero() && sentAt.Sub(h.drainAckedAt) > drainTime && arrivedAt.Sub(h.drainAckedAt) > drainTime
 	if late {
 		h.late++
 	}
-	h.w.logf("%s: takes flow of %v (sent %.3f, %.3f s after the acknowledged drain, late %v)", h.name(), p.src,
-		sentAt.Sub(h.w.start).Seconds(), secondsSince(h.drainAckedAt, now), late)
+	h.w.logf("%s: takes flow of %v (sent %.3f, %.3f s after the acknowledged drain, late %v)", h.name(), src,
+		sentAt.Sub(h.w.start).Seconds(), secondsSince(h.drainAckedAt, arrivedAt), late)
 }
 
 func secondsSince(at, now time.Time) float64 {
@@ -259,8 +276,9 @@
 	if len(p.data) == 0 {
 		return
 	}
-	switch p.seq {
-	case f.next:
+	isCopy := p.seq != f.next
+	switch {
+	case !isCopy:
 		id := requestID(p.data)
 		h.w.logf("%s: runs request %s of %v", h.name(), id, p.src)
 		f.next += uint32(len(p.data))
@@ -268,10 +286,8 @@
 		f.seq = f.nextSeq()
 		f.answer = fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Response-Seal: s\r\n\r\n%s", len(body), body)
 		f.sent = uint32(len(f.answer))
-	default:
-		if p.seq+uint32(len(p.data)) != f.next {
-			return
-		}
+	case p.seq+uint32(len(p.data)) != f.next:
+		return
 	}
 	flags := byte(flagAck)
 	if h.draining || f.closing {
@@ -280,7 +296,30 @@
 		flags |= flagFin
 	}
 	a := packet{flags: flags, src: p.dst, dst: p.src, seq: f.seq, ack: f.next, data: f.answer}
-	time.AfterFunc(workTime, func() { h.send(u, a) })
+	if isCopy {
+		h.send(u, a)
+		return
+	}
+	go h.sendUntilAcked(u, f, a)
+}
+
+// sendUntilAcked sends an answer after the running time of the request, and again
+// until the client acknowledges it, the run ends or the host gives up.
+func (h *host) sendUntilAcked(u *net.UDPConn, f *hostFlow, a packet) {
+	time.Sleep(workTime)
+	h.send(u, a)
+	pause := firstRepeat
+	for range maxRepeats {
+		time.Sleep(pause)
+		pause = min(2*pause, longestRepeat)
+		h.mu.Lock()
+		isDone := !h.up || h.conn != u || f.closed || f.acked-a.seq < 1<<31 && f.acked != a.seq
+		h.mu.Unlock()
+		if isDone {
+			return
+		}
+		h.send(u, a)
+	}
 }
 
 // nextSeq returns the sequence number behind what the host has sent.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,8 @@
 	seedRequests = 20
 	// clockStep is the largest in the site files, but for one of 2.6 s.
 	clockStep = 2400 * time.Millisecond
+	// rollGap is the shortest gap_s of roll_term in the site files.
+	rollGap = time.Second
 )
 
 var cases = map[string]func(w *world, trouble bool) (bool, error){
@@ -325,21 +327,20 @@
 		step = 0
 	}
 	d, err := w.startDeployment(func(h *host) error {
-		born := time.Now()
 		if h.i == 0 {
-			born = born.Add(step)
-			w.logf("platform: the clock of side-1 is ahead by %v", step)
+			return nil
 		}
-		return h.startRun(born)
+		return h.startRun(time.Now())
 	})
 	if err != nil {
 		return false, err
 	}
 	h := w.hosts[0]
-	h.mu.Lock()
-	started := h.born.Add(-step)
-	h.mu.Unlock()
-	time.Sleep(time.Until(started.Add(clockStep - 1500*time.Millisecond)))
+	w.logf("platform: the clock of side-1 is ahead by %v", step)
+	if err := h.startRun(time.Now().Add(step)); err != nil {
+		return false, err
+	}
+	time.Sleep(800 * time.Millisecond)
 	w.logf("platform: the clock of side-1 is right again")
 	h.crash()
 	time.Sleep(time.Second)
@@ -398,17 +399,23 @@
 		defer close(used)
 		keepUsing(fs, flowPause, end)
 	}()
-	time.Sleep(4500 * time.Millisecond)
-	d.moveFlows()
+	time.Sleep(4 * time.Second)
+	w.hosts[0].waitForBeat()
+	second := time.Now().Add(rollGap)
+	moved := make(chan struct{})
+	go func() {
+		defer close(moved)
+		d.moveFlows()
+	}()
 	if trouble {
-		w.hosts[0].waitForBeat()
 		for range 2 {
 			if err := d.agents[0].restart(syscall.SIGTERM, 500*time.Millisecond); err != nil {
 				return false, err
 			}
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(time.Until(second))
 		}
 	}
+	<-moved
 	<-used
 	return brokenFlows(w, fs) > 0, nil
 }
--- a/review/standin/packet.go
+++ b/review/standin/packet.go
@@ -23,6 +23,8 @@
 	src, dst netip.AddrPort
 	seq, ack uint32
 	data     []byte
+	// ofSystem is true for a reset of the system, which has the sum zero.
+	ofSystem bool
 }
 
 func (p packet) has(flag byte) bool { return p.flags&flag != 0 }
@@ -58,8 +60,8 @@
 	}
 	n := int(binary.LittleEndian.Uint16(b[24:]))
 	sum := binary.LittleEndian.Uint32(b[4:])
-	isReset := p.flags == flagRst && sum == 0 && n == 0
-	return p, n == len(p.data) && (isReset || sum == sumOf(b))
+	p.ofSystem = p.flags == flagRst && sum == 0 && n == 0
+	return p, n == len(p.data) && (p.ofSystem || sum == sumOf(b))
 }
 
 // sumOf returns a keyed sum over all fields except echo, pad and BOUNCED.
