--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
 mkdir -p bin
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o bin/standin-2 .
+GOWORK=off GOPROXY=off GOTOOLCHAIN=local go build -buildvcs=false -o bin/standin-2 .
