--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -264,6 +265,9 @@
 	return resets+n > 0, nil
 }
 
+// pathPattern finds the folders before the name of a source file.
+var pathPattern = regexp.MustCompile(`(?:/[^/\s\\"]+)+/([^/\s\\"]+\.go:\d+)`)
+
 // agentDowntime is the time from the end of an agent to its next start.
 const agentDowntime = 2 * time.Second
 
@@ -356,7 +360,7 @@
 			b, _ := os.ReadFile(filepath.Join(f.folder, p.role+"-"+p.ip+".log"))
 			for l := range strings.SplitSeq(string(b), "\n") {
 				if strings.Contains(l, "panic") {
-					f.rec.say("log of %s on %s: %.700s", p.role, p.ip, l)
+					f.rec.say("log of %s on %s: %.900s", p.role, p.ip, pathPattern.ReplaceAllString(l, "$1"))
 					break
 				}
 			}
