--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -18,6 +18,8 @@
 
 	mu     sync.Mutex
 	missed map[string]int
+	// zone has the balancers of the clients' zone; nil for all.
+	zone []string
 }
 
 // probe asks the ready address of each balancer twice a second. After two misses
@@ -60,6 +62,9 @@
 		return x ^ x>>29
 	}
 	out := append([]string(nil), r.f.balancers...)
+	if r.zone != nil {
+		out = append([]string(nil), r.zone...)
+	}
 	for i := range out {
 		for j := i; j > 0 && score(out[j]) > score(out[j-1]); j-- {
 			out[j], out[j-1] = out[j-1], out[j]
@@ -74,11 +79,18 @@
 	return r.missed[ip] < 2
 }
 
-// pick returns the balancer that a packet of the flow goes to.
+// pick returns the balancer that a packet of the flow goes to. All of the zone are
+// used if fewer than half are in rotation.
 func (r *router) pick(k endpoints) string {
 	o := r.order(k)
+	in := 0
 	for _, ip := range o {
 		if r.inRotation(ip) {
+			in++
+		}
+	}
+	for _, ip := range o {
+		if 2*in < len(o) || r.inRotation(ip) {
 			return ip
 		}
 	}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -237,6 +237,15 @@
 	}
 }
 
+// signal sends a signal that does not end the run.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
 func (f *fleet) find(role, ip string) *process {
 	for _, p := range f.processes {
 		if p.role == role && p.ip == ip {
