fix: ignore the time-outs of an earlier flow with the same key

Seen: a balancer ended by a panic, index out of range in handleTimeout, in TestFleet after 3,568 checks with restarts of up to 3 s (rapid).

Cause: a time-out named its flow by key and number of the attempt. A flow that is reset is forgotten, and the next flow with the same addresses and ports counts its attempts from one again, so that a time-out of the first could count for the second.

Change: a time-out refers to the flow itself. The other keys that outlive a flow are those of searches; they are looked up anew and their state is checked.

--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -174,9 +174,11 @@
 		returnedBy []netip.AddrPort
 	}
 
+	// deadline is that of one attempt of a flow. Another flow with the same key
+	// may follow before it expires.
 	deadline struct {
 		expiresAt time.Time
-		key       balsampier.FlowKey
+		flow      *flow
 		attempt   uint32
 	}
 
@@ -368,8 +370,8 @@
 	for len(d.deadlineQueue) > 0 && !t.Before(d.deadlineQueue[0].expiresAt) {
 		e := d.deadlineQueue[0]
 		d.deadlineQueue = d.deadlineQueue[1:]
-		f, ok := d.flows[e.key]
-		if ok && f.attempt == e.attempt {
+		f := e.flow
+		if d.flows[f.segment.Key] == f && f.attempt == e.attempt {
 			d.handleTimeout(f, t)
 		}
 	}
@@ -413,7 +415,7 @@
 }
 
 func (d *Director) setDeadline(f *flow, t time.Time, w time.Duration) {
-	e := deadline{expiresAt: t.Add(w), key: f.segment.Key, attempt: f.attempt}
+	e := deadline{expiresAt: t.Add(w), flow: f, attempt: f.attempt}
 	i := len(d.deadlineQueue)
 	for i > 0 && d.deadlineQueue[i-1].expiresAt.After(e.expiresAt) {
 		i--
--- a/command/direct/direct_test.go
+++ b/command/direct/direct_test.go
@@ -703,3 +703,22 @@
 	w.Assert(countResets(as), qt.Equals, 0)
 	w.Assert(relayTargets(as, balsampier.RelayQuery), qt.HasLen, 3)
 }
+
+// TestDeadlineOfEarlierFlow checks that the time-outs of a flow that was reset
+// have no effect on the next flow with the same addresses and ports. Guards
+// against a balancer that ends by a panic.
+func TestDeadlineOfEarlierFlow(t *testing.T) {
+	w := newWorld(qt.New(t), 3)
+	as := w.sendPacket(true)
+	resets := 0
+	for range 3 {
+		at := relayTargets(as, balsampier.RelayOpen)
+		w.Assert(at, qt.HasLen, 1)
+		as = w.sendReply(at[0], balsampier.RelayRefused, balsampier.ReasonFull)
+		resets += countResets(as)
+	}
+	w.Assert(resets, qt.Equals, 1)
+	w.advanceTime(30 * time.Millisecond)
+	w.denyQueries(w.sendPacket(false))
+	w.Assert(relayTargets(w.advanceTime(15*time.Millisecond), balsampier.RelaySearch), qt.HasLen, 4)
+}
