fix: do not add up what an agent missed in several restarts

Cause: an agent in the view counted as gone after three missed searches of which the first and the last were 3.5 s apart. Only a reply ended the count, so that the time between the restarts, in which nobody asked, counted as silence.

Ruled out: an expired lease, a shutdown notice, a lost reply. The record of the case has none of them.

Change: a silence consists of missed searches that follow each other within 3 s. A new run in the view and the return to the view end it as well. It must last for 5 s, in which an agent is back and its new run known; outside the view 1.5 s instead of any three searches. A search that ends counts the silence that it has just extended, so that the wait is not longer by one lookup. An agent or run that the view shows during a search was not asked, and keeps the flow from being reset.

--- a/command/direct/agents.go
+++ b/command/direct/agents.go
@@ -44,15 +44,14 @@
 		// departedAt is when the agent left the view; zero while it is in the
 		// view.
 		departedAt time.Time
-		// missedSearches counts consecutive searches without a reply, the first
-		// of them at firstMissAt and the last at lastMissAt.
-		missedSearches          int
-		firstMissAt, lastMissAt time.Time
+		// silence is that of the present run, as far as this balancer asked it.
+		silence silence
 		// hasServerEnded is true if this run of the agent reported that its
 		// server has ended.
 		hasServerEnded bool
-		// joinedAt is when the agent joined the view.
-		joinedAt time.Time
+		// joinedAt is when the agent joined the view, runSeenAt when its present
+		// run was first seen there.
+		joinedAt, runSeenAt time.Time
 		// load is the load last reported, at loadAt; placedSinceLoad counts the
 		// flows placed on the agent since then.
 		load            balsampier.Load
@@ -62,6 +61,16 @@
 		// other.
 		suspectUntil time.Time
 	}
+
+	// silence is a time in which an agent did not reply to searches that followed
+	// each other closely. Any sign that the agent lives ends it, and so does a
+	// time without searches, which the agent would have replied to.
+	silence struct {
+		// missed counts the searches, the first of which ended without a reply
+		// at firstMissAt and the last at lastMissAt.
+		missed                  int
+		firstMissAt, lastMissAt time.Time
+	}
 )
 
 func newAgents() agents { return agents{byAddr: make(map[netip.AddrPort]*agent)} }
@@ -79,10 +88,13 @@
 			a = &agent{addr: m.Addr, service: m.Service, joinedAt: t}
 			g.byAddr[m.Addr] = a
 		}
+		if !a.departedAt.IsZero() {
+			a.silence = silence{}
+		}
 		a.zone, a.slots, a.draining, a.departedAt = m.DataCentre, max(m.Slots, 1), m.Draining, time.Time{}
 		// A later run has a lower incarnation if the clock was set back.
-		if m.Incarnation != a.incarnation {
-			a.incarnation, a.hasServerEnded = m.Incarnation, false
+		if m.Incarnation != a.incarnation || a.runSeenAt.IsZero() {
+			a.incarnation, a.hasServerEnded, a.silence, a.runSeenAt = m.Incarnation, false, silence{}, t
 		}
 	}
 	for k, a := range g.byAddr {
@@ -220,7 +232,27 @@
 // expectedRepliers returns the agents whose replies a search waits for: all
 // that are reachable.
 func (g *agents) expectedRepliers(t time.Time) []netip.AddrPort {
-	return slices.DeleteFunc(g.searchTargets(), func(a netip.AddrPort) bool { return g.byAddr[a].isUnreachable(t) })
+	return g.reachable(g.searchTargets(), t)
+}
+
+// reachable returns those of the agents that are known and reachable.
+func (g *agents) reachable(as []netip.AddrPort, t time.Time) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(as), func(k netip.AddrPort) bool {
+		a := g.byAddr[k]
+		return a == nil || a.isUnreachable(t)
+	})
+}
+
+// seenSince returns the agents whose present run was first seen in the view
+// after time t. A search that started at t did not ask them.
+func (g *agents) seenSince(t time.Time) []netip.AddrPort {
+	var out []netip.AddrPort
+	for k, a := range g.byAddr {
+		if a.runSeenAt.After(t) {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
 // recordMissedSearch records the agents that did not reply to a search. If they
@@ -231,24 +263,38 @@
 		return
 	}
 	for _, k := range as {
-		a := g.byAddr[k]
-		if a == nil {
-			continue
-		}
-		if a.missedSearches++; a.missedSearches == 1 {
-			a.firstMissAt = t
+		if a := g.byAddr[k]; a != nil {
+			a.silence.extend(t)
 		}
-		a.lastMissAt = t
 	}
 }
 
+// extend adds a missed search.
+func (s *silence) extend(t time.Time) {
+	if s.missed == 0 || t.Sub(s.lastMissAt) > maxSilenceGap {
+		*s = silence{firstMissAt: t}
+	}
+	s.missed++
+	s.lastMissAt = t
+}
+
 // isUnreachable reports whether no reply is expected from the agent. Either its
-// server has ended, or the agent missed several searches and has left the view
-// or been silent for minSilenceWindow. The latter expires unreachableTTL after
-// the last missed search.
+// server has ended, or the agent has been silent for longer than a restart takes.
+// The latter expires unreachableTTL after the last missed search, so that the
+// agent is asked again.
 func (a *agent) isUnreachable(t time.Time) bool {
-	silent := a.missedSearches >= minMissedSearches && (!a.departedAt.IsZero() || a.lastMissAt.Sub(a.firstMissAt) >= minSilenceWindow)
-	return a.hasServerEnded || silent && t.Sub(a.lastMissAt) < unreachableTTL
+	return a.hasServerEnded || a.isGone() && t.Sub(a.silence.lastMissAt) < unreachableTTL
+}
+
+// isGone reports whether the agent was silent for so long that its flows count
+// as lost. An agent outside the view has already lost its lease.
+func (a *agent) isGone() bool {
+	w := minSilenceInView
+	if !a.departedAt.IsZero() {
+		w = minSilenceOutsideView
+	}
+	s := &a.silence
+	return s.missed >= minMissedSearches && s.lastMissAt.Sub(s.firstMissAt) >= w
 }
 
 // mayBeAtDeparted reports whether an agent that has left the view may still
@@ -290,7 +336,7 @@
 	if a == nil {
 		return
 	}
-	a.missedSearches = 0
+	a.silence = silence{}
 	if r.Load.Slots > 0 {
 		a.load, a.loadAt, a.placedSinceLoad = r.Load, t, 0
 	}
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -43,15 +43,20 @@
 	// each, a message stays below 1 KB.
 	maxSearchFlows = 100
 	// minMissedSearches is the number of consecutive searches that an agent
-	// must miss to count as unreachable. It exceeds what a few lost datagrams
-	// cause.
+	// must miss to count as gone. It exceeds what a few lost datagrams cause.
 	minMissedSearches = 3
-	// minSilenceWindow is how long an agent that is still in the view must also
-	// have been silent. It is longer than an agent takes to restart and shorter
-	// than its lease of 5 s.
-	minSilenceWindow = 3500 * time.Millisecond
-	// unreachableTTL is how long an agent counts as unreachable without another
-	// missed search. It is longer than maxRequeryInterval.
+	// minSilenceInView is how long an agent in the view must also have been
+	// silent. It covers a restart of 3 s and maxViewDelay, after which the view
+	// shows the new run.
+	minSilenceInView = 5 * time.Second
+	// minSilenceOutsideView is the same for an agent that has left the view, and
+	// is longer than a usual restart.
+	minSilenceOutsideView = 1500 * time.Millisecond
+	// maxSilenceGap is the maximum time between two missed searches of the same
+	// silence. It is longer than maxRequeryInterval and a search.
+	maxSilenceGap = 3 * time.Second
+	// unreachableTTL is how long no reply is expected from an agent without
+	// another missed search.
 	unreachableTTL = 3 * time.Second
 	// maxViewDelay is the maximum delay between members in learning of a view.
 	maxViewDelay = 2 * time.Second
@@ -78,8 +83,9 @@
 	}
 
 	search struct {
-		number uint64
-		keys   []balsampier.FlowKey
+		number    uint64
+		startedAt time.Time
+		keys      []balsampier.FlowKey
 		// unsentAgents are the agents that the search has yet to be sent to.
 		unsentAgents []netip.AddrPort
 		// collects is true while the search is sent to collectors. Agents whose
@@ -163,7 +169,7 @@
 	q.lastNumber++
 	q.lastStart = t
 	s := &search{
-		number: q.lastNumber, keys: keys, unsentAgents: d.searchOrder(keys), pendingAgents: d.agents.expectedRepliers(t),
+		number: q.lastNumber, startedAt: t, keys: keys, unsentAgents: d.searchOrder(keys), pendingAgents: d.agents.expectedRepliers(t),
 		holdersByKey: make(map[uint64][]netip.AddrPort),
 	}
 	if len(s.unsentAgents) >= minCollectTargets {
@@ -240,7 +246,7 @@
 	for _, x := range as {
 		a := g.byAddr[x]
 		all = append(all, a)
-		if a.departedAt.IsZero() && !a.draining && a.missedSearches == 0 && !t.Before(a.suspectUntil) {
+		if a.departedAt.IsZero() && !a.draining && a.silence.missed == 0 && !t.Before(a.suspectUntil) {
 			likely = append(likely, a)
 		}
 	}
@@ -317,7 +323,7 @@
 func (d *Director) addResult(s *search, x balsampier.SearchResult, t time.Time) {
 	removeAddr(&s.pendingAgents, x.Agent)
 	if a := d.agents.byAddr[x.Agent]; a != nil {
-		a.missedSearches = 0
+		a.silence = silence{}
 	}
 	if x.Uncertain {
 		s.uncertain = append(s.uncertain, x.Agent)
@@ -364,12 +370,13 @@
 
 // finishSearch continues the lookups of a search's flows.
 func (d *Director) finishSearch(s *search, t time.Time) {
+	missing := append(d.agents.reachable(s.pendingAgents, t), d.agents.seenSince(s.startedAt)...)
 	for _, k := range s.keys {
 		f := d.flows[k]
 		if !f.awaitsSearch() {
 			continue
 		}
-		f.hasUnanswered = f.hasUnanswered || d.anyMayHold(f, s.pendingAgents, t)
+		f.hasUnanswered = f.hasUnanswered || d.anyMayHold(f, missing, t)
 		f.holderMayBeDeparted = f.holderMayBeDeparted || d.anyMayHold(f, s.sawDeparture, t)
 		for _, a := range s.uncertain {
 			if !slices.Contains(f.uncertain, a) && !slices.Contains(f.uncertainOther, a) && !slices.Contains(f.excludedAgents, a) {
--- a/command/hold/fleet_test.go
+++ b/command/hold/fleet_test.go
@@ -26,6 +26,9 @@
 	// maxViewDelay is the longest time in which a newer view reaches all
 	// balancers and agents.
 	maxViewDelay = 900 * time.Millisecond
+	// maxAgentDowntime is the longest time for which an agent that restarts is
+	// away.
+	maxAgentDowntime = 3 * time.Second
 	// maxCutOff is the longest time for which an agent is cut off.
 	maxCutOff = 7 * time.Second
 	// reconnectGrace is how long an agent still counts as cut off after it has
@@ -320,8 +323,8 @@
 	a.table = nil
 }
 
-// restartAgent restarts an agent, and with again a second time soon after. Each
-// time it is away for at most maxDown.
+// restartAgent restarts an agent, and with again a second time soon after. The
+// first time it is away for at most maxDown, the second for maxAgentDowntime.
 func (f *fleet) restartAgent(i int, again bool, maxDown time.Duration) {
 	a := f.agents[i]
 	if a.table == nil {
@@ -336,7 +339,7 @@
 			f.schedule(time.Duration(rapid.IntRange(0, 1200).Draw(f.T, "again"))*time.Millisecond, func() {
 				if a.table == h {
 					f.recordAll("agent %d restarts again", i)
-					f.restartAgent(i, false, maxDown)
+					f.restartAgent(i, false, maxAgentDowntime)
 				}
 			})
 		}
@@ -560,7 +563,7 @@
 		if rapid.Bool().Draw(f.T, "twice") {
 			f.restartAgent(i, true, time.Second)
 		} else {
-			f.restartAgent(i, false, 3*time.Second)
+			f.restartAgent(i, false, maxAgentDowntime)
 		}
 	case "crash server":
 		i := agent()
