fix: end no lookup by a search that began before it

Cause: a flow that was found and then denied is looked up again. The search of its first lookup may still wait for replies; its end counted for the second lookup, although those replies are older.

Change: such a search leaves the flow to a later one. TestSearchOfEarlierLookup failed before: one reset.

--- a/command/direct/lookup_test.go
+++ b/command/direct/lookup_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"testing"
@@ -276,3 +277,27 @@
 		})
 	}
 }
+
+// TestSearchOfEarlierLookup checks that a search does not end a lookup that began
+// after it. Guards against a reset by replies that are older than the lookup.
+func TestSearchOfEarlierLookup(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	reply := func(from netip.AddrPort, number uint64, payload []byte) int {
+		w.d.HandleReply(from, balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: balsampier.FlowKey{Lo: number}, Payload: payload}, w.t)
+		return countResets(w.d.PopActions())
+	}
+	w.denyQueries(w.sendPacket(false))
+	w.Assert(relayTargets(w.advanceTime(15*time.Millisecond), balsampier.RelaySearch), qt.HasLen, 3)
+	w.Assert(reply(agentAddr(2), 1, nil), qt.Equals, 0)
+	w.Assert(reply(agentAddr(1), 1, binary.BigEndian.AppendUint64(nil, segment(false).Key.Hi)), qt.Equals, 0)
+	w.sendReply(agentAddr(1), balsampier.RelayFound, balsampier.ReasonNone)
+	w.advanceTime(time.Millisecond)
+	w.denyQueries(w.returnPacket(agentAddr(1)))
+	w.Assert(reply(agentAddr(99), 1, nil), qt.Equals, 0)
+	w.Assert(relayTargets(w.advanceTime(60*time.Millisecond), balsampier.RelaySearch), qt.HasLen, 3)
+	n := 0
+	for _, i := range []int{1, 2, 99} {
+		n += reply(agentAddr(i), 2, nil)
+	}
+	w.Assert(n, qt.Equals, 1)
+}
--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -368,12 +368,13 @@
 	}
 }
 
-// finishSearch continues the lookups of a search's flows.
+// finishSearch continues the lookups of a search's flows. A lookup that began
+// after the search waits for a later one.
 func (d *Director) finishSearch(s *search, t time.Time) {
 	missing := append(d.agents.reachable(s.pendingAgents, t), d.agents.seenSince(s.startedAt)...)
 	for _, k := range s.keys {
 		f := d.flows[k]
-		if !f.awaitsSearch() {
+		if !f.awaitsSearch() || f.stateSince.After(s.startedAt) {
 			continue
 		}
 		f.hasUnanswered = f.hasUnanswered || d.anyMayHold(f, missing, t)
