fix: place a flow that waits for an agent by the routes in force

Callers may have seen: a flow whose opening waited for an agent while a new configuration came into force was opened at the old service.

Cause: the service of a flow was chosen with its first opening packet. The flow was offered to the next agent with that service and the new revision of the routes, and an agent checks its own routes only if they are newer.

Change: the route is looked up whenever the flow is offered; a flow whose route is gone is reset, as it never opened.

Before: two of three rows of TestRouteChangesWhileOpening fail.

--- a/command/direct/open.go
+++ b/command/direct/open.go
@@ -24,14 +24,25 @@
 	d.deliver(f, b)
 }
 
-// place offers the flow to the next agent by sending it the opening packet.
+// place offers the flow to the next agent by sending it the opening packet. The
+// routes may have changed since the flow was offered before.
 func (d *Director) place(f *flow, t time.Time) {
 	if d.dropIfNotParked(f) {
 		return
 	}
+	r, ok := d.routes.find(f.segment.Service)
+	if !ok {
+		s := f.segment
+		d.evict(s.Key, f)
+		d.rejectUnrouted(s)
+		return
+	}
+	if !r.allows(f.service) {
+		f.service = r.choose(f.segment.Key)
+	}
 	a, n := d.agents.choose(f, d.config.DataCentre, t)
 	if !a.IsValid() {
-		a, n = d.chooseFallback(f, t)
+		a, n = d.chooseFallback(f, r, t)
 	}
 	if !a.IsValid() {
 		d.failOpening(f, n, t)
@@ -58,11 +69,7 @@
 }
 
 // chooseFallback selects an agent from the other services of the route.
-func (d *Director) chooseFallback(f *flow, t time.Time) (netip.AddrPort, int) {
-	r, ok := d.routes.find(f.segment.Service)
-	if !ok {
-		return netip.AddrPort{}, 0
-	}
+func (d *Director) chooseFallback(f *flow, r *route, t time.Time) (netip.AddrPort, int) {
 	for _, g := range r.targets {
 		if g.Weight == 0 || g.Service == f.service {
 			continue
--- a/command/direct/routes.go
+++ b/command/direct/routes.go
@@ -67,6 +67,11 @@
 	return r.servicesSeen[to]
 }
 
+// allows reports whether new flows may go to the service.
+func (r *route) allows(s balsampier.ServiceName) bool {
+	return slices.ContainsFunc(r.targets, func(t balsampier.Target) bool { return t.Service == s && t.Weight > 0 })
+}
+
 // choose selects a service by weight. The choice depends only on the flow and
 // the route, so that all balancers with the same routes agree on it.
 func (r *route) choose(k balsampier.FlowKey) balsampier.ServiceName {
