fix: place a new flow from a used port like one from a fresh port

Cause: a balancer took every opening packet of a known flow for a copy and sent it to the agent of the old flow, whatever the routes and the state of that flow. The agent took it as well, as it checks its routes only if they are newer.

Ruled out: late routes. The record shows the new revision at both for 14 s.

A flow that may still be open is kept until the client's next packet shows which of the two it continues; at the agent the server's answer shows it. An agent denies packets that acknowledge what its server never sent, so that no request reaches both servers. Replies about an earlier flow no longer count for the new one. A parked copy is no longer delivered as a packet of an open flow.

Of an ended flow the agent remembers its opening, the server's sequence numbers and who closed it for 15 s, to tell copies and late packets; a balancer keeps its entry for twice the idle time-out, as it may not have seen the end.

--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -19,7 +19,7 @@
 	// maxParkedTotal is the maximum number of parked packets of all flows. At
 	// about 1.2 KB each they take 5 MB.
 	maxParkedTotal = 4096
-	// maxFlows is the maximum number of known flows, at about 300 bytes each.
+	// maxFlows is the maximum number of known flows, at about 600 bytes each.
 	// 41 million flows on 1,200 balancers are 34,000 per balancer.
 	maxFlows = 120_000
 
@@ -40,6 +40,9 @@
 	// maxOpenTimeouts is the number of agents that may time out on an opening
 	// packet. After that many the fault is likely at this balancer.
 	maxOpenTimeouts = 3
+	// maxOpeningTime is how long a client tries to open a flow: 1.4 s, and the time
+	// in which its packets arrive.
+	maxOpeningTime = 2 * time.Second
 	// suspectWindow is how long an agent is chosen last after it or its server
 	// did not reply, or after the server was full.
 	suspectWindow = time.Second
@@ -154,6 +157,15 @@
 		// isEstablished is true once the client has sent a packet other than an
 		// opening one, which shows that a server has replied.
 		isEstablished bool
+		// isClosing is true once the client has closed its direction or aborted
+		// the flow.
+		isClosing bool
+		// opening identifies the opening packet, otherOpening that of another flow
+		// with the same addresses and ports that was known last.
+		opening, otherOpening balsampier.Opening
+		// earlier is the replaced flow if it may still be open; nil once this flow
+		// is established.
+		earlier *flow
 		// firstAskedAt is when agents were first asked since the flow was last
 		// opened or looked up, askedAt when they were last asked.
 		firstAskedAt, askedAt time.Time
@@ -259,10 +271,34 @@
 		d.handleFirstPacket(s, b, t)
 		return
 	}
-	f.segment, f.lastPacketAt = s, t
+	switch {
+	case s.Opening && f.isLateCopy(s, t):
+		d.logEvent("dropped", f, f.agent, balsampier.ReasonUnknownFlow, 0)
+	case s.Opening && f.startsAnew(s, t):
+		d.replaceFlow(f, s, b, t)
+	case !s.Opening && f.isOfOtherFlow(s):
+		d.switchFlow(f, s, b, t)
+	default:
+		d.handleKnownFlow(f, s, b, t)
+	}
+}
+
+// handleKnownFlow decides on a packet of a known flow.
+func (d *Director) handleKnownFlow(f *flow, s balsampier.Segment, b []byte, t time.Time) {
+	f.lastPacketAt = t
 	f.traffic.bytes += s.Length
-	f.isEstablished = f.isEstablished || !s.Opening
+	f.isClosing = f.isClosing || s.Final || s.Reset
+	if s.Opening {
+		f.opening.RecordCopy(s)
+	} else {
+		f.isEstablished, f.earlier = true, nil
+	}
+	if !s.Opening || !f.isEstablished {
+		f.segment = s
+	}
 	switch {
+	case s.Opening && f.isEstablished:
+		// The client has its answer already.
 	case s.Opening && (f.state == stateOpening || f.state == stateOpen):
 		d.sendRelay(f, balsampier.RelayOpen, f.agent, b)
 	case f.state == stateOpening:
@@ -271,7 +307,7 @@
 		d.deliver(f, b)
 	case f.state == stateUnassigned && !s.Opening && t.Sub(f.stateSince) < f.requeryInterval:
 		d.logEvent("dropped", f, f.agent, balsampier.ReasonUnknownFlow, 0)
-	case f.state == stateUnassigned && s.Opening && !f.isEstablished:
+	case f.state == stateUnassigned && s.Opening:
 		d.park(f, b)
 		d.place(f, t)
 	case f.state == stateUnassigned:
@@ -299,7 +335,8 @@
 		}
 		r.traffic.addFlow()
 	}
-	f := &flow{segment: s, lastPacketAt: t, stateSince: t, isEstablished: !s.Opening, traffic: r.traffic}
+	f := &flow{segment: s, lastPacketAt: t, stateSince: t, isEstablished: !s.Opening, traffic: r.traffic, opening: balsampier.NewOpening(s, t)}
+	f.isClosing = s.Final || s.Reset
 	d.flows[s.Key] = f
 	d.park(f, b)
 	if s.Opening {
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -11,7 +11,9 @@
 // handleFound records the holder of the flow and forwards the parked packets to
 // it.
 func (d *Director) handleFound(f *flow, from netip.AddrPort, t time.Time) {
-	if f.state == stateOpen && f.agent == from {
+	// A flow that is not established was never looked up: the reply is about an
+	// earlier flow.
+	if !f.isEstablished || f.state == stateOpen && f.agent == from {
 		return
 	}
 	if f.state != stateProbing {
@@ -33,7 +35,7 @@
 	switch f.state {
 	case stateOpen, stateOpening:
 		switch {
-		case len(r.Payload) == 0:
+		case len(r.Payload) == 0 || !f.isEstablished:
 		case f.agent == from:
 			d.logEvent("denied", f, from, balsampier.ReasonUnknownFlow, 0)
 			f.recordReturned(from)
@@ -153,11 +155,12 @@
 }
 
 // endLookup ends a lookup that found no holder. The client gets a reset only if
-// every agent replied that its server does not have the flow and no agent
-// outside the view may have it. Otherwise the flow is looked up again later.
+// every agent replied that its server does not have the flow, no agent outside the
+// view may have it, and the client is not opening another flow. Otherwise the flow
+// is looked up again later.
 func (d *Director) endLookup(f *flow, t time.Time) {
 	s := f.segment
-	if !f.hasUnanswered && !f.holderMayBeDeparted && !s.Reset && !d.mayBeAtDeparted(s.Service, t) {
+	if !f.hasUnanswered && !f.holderMayBeDeparted && !s.Reset && !f.mayOpenNow(t) && !d.mayBeAtDeparted(s.Service, t) {
 		d.logEvent("reset", f, netip.AddrPort{}, balsampier.ReasonHolderGone, 0)
 		d.pendingActions = append(d.pendingActions, Action{Reset: &s})
 		d.evict(s.Key, f)
--- a/command/direct/open.go
+++ b/command/direct/open.go
@@ -87,10 +87,11 @@
 // failOpening resets a flow that every agent refused. No request of it has run,
 // because it never opened. The flow is not reset if it may still open: a server
 // may have received the opening packet, or an earlier copy of it may be at an
-// agent that has left the view.
+// agent that has left the view. Nor is it if the packet may be a stray one of an
+// open flow.
 func (d *Director) failOpening(f *flow, n int, t time.Time) {
 	s := f.segment
-	if f.mayOpenLate || s.Retransmissions > 0 && d.mayBeAtDeparted(s.Service, t) {
+	if f.mayOpenLate || f.earlier != nil || s.Retransmissions > 0 && d.mayBeAtDeparted(s.Service, t) {
 		d.dropOpening(f, n, t)
 		return
 	}
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -45,9 +45,12 @@
 	sweepInterval = 2 * time.Second
 	// maxFlows limits the flows in the table; servers have some thousands.
 	maxFlows = 50_000
-	// ackWindow is how far an acknowledgement may be ahead of the server's
-	// initial sequence number, in bytes: 64 packets of 1,200 bytes.
-	ackWindow = 76_800
+	// ackWindow is how far an acknowledgement may be ahead of what the agent knows
+	// that the server has sent.
+	ackWindow = balsampier.SequenceWindow
+	// maxTrackedBytes limits how many of the bytes that the server has sent an
+	// acknowledgement may be of.
+	maxTrackedBytes = 1 << 30
 	// departureWindow is how long an agent that left the view may still have
 	// flows: longer than their idle time-out.
 	departureWindow = 20 * time.Second
@@ -111,10 +114,19 @@
 		lastSegment    balsampier.Segment
 		lastFromClient bool
 		state          state
-		// serverSequence is the server's initial sequence number; valid if
-		// answered is true.
-		serverSequence uint32
-		answered       bool
+		// opening identifies the opening packet.
+		opening balsampier.Opening
+		// reopening is the opening packet of another flow with the same addresses
+		// and ports that the server has not answered; nil if there is none.
+		reopening *reopening
+		// closedByClient and closedByServer are true once that end has closed its
+		// direction, both once either has aborted the flow.
+		closedByClient, closedByServer bool
+		// serverSequence is the server's initial sequence number, or a later one
+		// if it has sent much; serverNext is the one that follows all it has sent.
+		// Both are valid if answered is true.
+		serverSequence, serverNext uint32
+		answered                   bool
 		// balancer is the one that sent the newest packet.
 		balancer netip.AddrPort
 		// lastSeen is when the newest packet was seen in either direction.
@@ -129,9 +141,12 @@
 		established bool
 	}
 
+	// deadline is when the server must have answered an opening packet.
 	deadline struct {
 		at  time.Time
 		key balsampier.FlowKey
+		// sequence is that of the opening packet.
+		sequence uint32
 	}
 
 	// Action is one output of the table: a packet, a reply, a reset or an
@@ -249,32 +264,6 @@
 	h.agents = as
 }
 
-// handleOpening delivers or refuses an opening packet.
-func (h *FlowTable) handleOpening(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
-	if f != nil && (f.state == open || f.state == halfOpen && f.answered) {
-		f.balancer, f.lastSeen = from, t
-		h.sendToServer(r.Payload)
-		h.reply(from, balsampier.RelayAccepted, r.Flow, balsampier.ReasonNone, nil)
-		return
-	}
-	if v := h.refusalReason(r, s, t); v != balsampier.ReasonNone {
-		h.reply(from, balsampier.RelayRefused, r.Flow, v, nil)
-		h.recordEvent("refused", s, from, v, r.Revision)
-		return
-	}
-	if f == nil {
-		f = &flow{}
-		h.insert(r.Flow, f)
-	}
-	h.removeFromCounts(f)
-	f.lastSegment, f.lastFromClient, f.balancer, f.lastSeen, f.state, f.answered, f.established = s, true, from, t, halfOpen, false, false
-	h.server.recordOpening(t)
-	h.answerDeadlines = append(h.answerDeadlines, deadline{at: t.Add(answerTimeout), key: r.Flow})
-	h.sendToServer(r.Payload)
-	h.reply(from, balsampier.RelayAccepted, r.Flow, balsampier.ReasonNone, nil)
-	h.recordEvent("taken", s, from, balsampier.ReasonNone, r.Revision)
-}
-
 // refusalReason returns why the server accepts no new flow, or ReasonNone if it
 // does.
 func (h *FlowTable) refusalReason(r balsampier.Relay, s balsampier.Segment, t time.Time) balsampier.Reason {
@@ -326,7 +315,7 @@
 // if it is unknown.
 func (h *FlowTable) deliverPacket(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
 	if f == nil {
-		f = &flow{}
+		f = &flow{opening: balsampier.NewOpening(s, t)}
 		h.insert(r.Flow, f)
 	}
 	f.lastSegment, f.lastFromClient, f.balancer, f.lastSeen = s, true, from, t
@@ -342,6 +331,7 @@
 		h.running++
 	}
 	if s.Reset || s.Final {
+		f.closedByClient, f.closedByServer = true, f.closedByServer || s.Reset
 		h.markEnded(f)
 	}
 	h.sendToServer(r.Payload)
@@ -355,8 +345,9 @@
 		return balsampier.RelayNotFound
 	case f != nil && f.state == halfOpen && !f.answered:
 		return balsampier.RelayUncertain
-	case f != nil && f.state == halfOpen && s.Ack && s.Acknowledged-f.serverSequence > ackWindow:
-		// The client opened the flow at another server.
+	case f != nil && f.answered && s.Ack && s.Acknowledged-f.serverSequence > f.serverNext-f.serverSequence+ackWindow:
+		// The client opened the flow at another server, or the packet is of
+		// another flow with the same addresses and ports.
 		return balsampier.RelayNotFound
 	case f != nil:
 		return balsampier.RelayFound
@@ -380,15 +371,11 @@
 // Tick refuses openings whose answer timed out and evicts expired flows.
 func (h *FlowTable) Tick(t time.Time) {
 	for len(h.answerDeadlines) > 0 && !t.Before(h.answerDeadlines[0].at) {
-		k := h.answerDeadlines[0].key
+		e := h.answerDeadlines[0]
 		h.answerDeadlines = h.answerDeadlines[1:]
-		f := h.flows[k]
-		if f == nil || f.state != halfOpen || f.answered {
-			continue
+		if f := h.flows[e.key]; f != nil {
+			h.handleUnanswered(f, e, t)
 		}
-		h.server.recordUnanswered(t)
-		h.reply(f.balancer, balsampier.RelayRefused, k, balsampier.ReasonUnanswered, nil)
-		h.recordEvent("silent", f.lastSegment, f.balancer, balsampier.ReasonUnanswered, 0)
 	}
 	if t.Before(h.sweepAt) {
 		return
--- a/command/hold/packet.go
+++ b/command/hold/packet.go
@@ -19,6 +19,9 @@
 	if f == nil {
 		if len(h.flows) < maxFlows {
 			f = &flow{lastSegment: s}
+			if s.Ack {
+				f.opening = balsampier.NewOpening(balsampier.Segment{Sequence: s.Acknowledged}, t)
+			}
 			h.insert(s.Key, f)
 		}
 	}
@@ -33,7 +36,7 @@
 	f.lastSeen = t
 	switch {
 	case s.Opening:
-		f.serverSequence, f.answered = s.Sequence, true
+		h.handleAnswer(f, s)
 	case s.Reset:
 	default:
 		f.established = true
@@ -41,15 +44,33 @@
 			h.markOpen(f)
 		}
 	}
+	f.recordSent(s)
 	if s.Length > 0 && f.running {
 		f.running = false
 		h.running--
 	}
 	if s.Reset || s.Final {
+		f.closedByClient, f.closedByServer = f.closedByClient || s.Reset, true
 		h.markEnded(f)
 	}
 }
 
+// recordSent records the sequence numbers of a packet that the server sent.
+func (f *flow) recordSent(s balsampier.Segment) {
+	n := s.Sequence + uint32(s.Length)
+	if s.Opening || s.Final {
+		n++
+	}
+	if f.answered && int32(n-f.serverNext) > 0 {
+		f.serverNext = n
+	}
+	// Sequence numbers wrap: of a long flow only the newest are told from those of
+	// another flow.
+	if f.serverNext-f.serverSequence > maxTrackedBytes {
+		f.serverSequence = f.serverNext - maxTrackedBytes/2
+	}
+}
+
 // handleReturned refuses, resets or reports as not found the flow of a packet
 // that the server did not accept.
 func (h *FlowTable) handleReturned(f *flow, s balsampier.Segment, b []byte) {
@@ -59,7 +80,12 @@
 	}
 	via := f.balancer
 	switch {
-	case s.Opening && f.state == halfOpen:
+	case s.Opening && f.reopening != nil && f.reopening.segment.Sequence == s.Sequence:
+		h.reply(f.reopening.balancer, balsampier.RelayRefused, s.Key, balsampier.ReasonFull, b)
+		h.recordEvent("returned", s, f.reopening.balancer, balsampier.ReasonFull, 0)
+		f.reopening = nil
+		return
+	case s.Opening && f.state == halfOpen && f.lastSegment.Sequence == s.Sequence:
 		h.reply(via, balsampier.RelayRefused, s.Key, balsampier.ReasonFull, b)
 		h.recordEvent("returned", s, via, balsampier.ReasonFull, 0)
 	case s.Opening:
