fix: offer a flow to another agent if its agent refuses a copy of the opening

An agent that has accepted an opening and restarts refuses its copy, for instance because its server drains by now. The balancer had no packet to offer to another agent, so that the client's attempt timed out.

Change: the copy is parked until the agent replies. Such a flow is not reset, as a server may have received the first packet.

Before: TestRefusedCopy fails. After: it passes.

--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -293,6 +293,9 @@
 	} else {
 		f.isEstablished, f.earlier = true, nil
 	}
+	if !s.Opening && f.state == stateOpen {
+		d.unpark(f)
+	}
 	if !s.Opening || !f.isEstablished {
 		f.segment = s
 	}
@@ -300,7 +303,7 @@
 	case s.Opening && f.isEstablished:
 		// The client has its answer already.
 	case s.Opening && (f.state == stateOpening || f.state == stateOpen):
-		d.sendRelay(f, balsampier.RelayOpen, f.agent, b)
+		d.sendCopy(f, b)
 	case f.state == stateOpening:
 		d.handleEarlyReply(f, b, t)
 	case f.state == stateOpen:
--- a/command/direct/open.go
+++ b/command/direct/open.go
@@ -57,6 +57,16 @@
 	d.logEvent("placed", f, a, balsampier.ReasonNone, n)
 }
 
+// sendCopy sends a copy of the opening packet to the agent that was sent the
+// packet before. The copy stays parked until the agent replies, so that another
+// agent can be offered the flow if this one has restarted and refuses it.
+func (d *Director) sendCopy(f *flow, b []byte) {
+	if len(f.packets) == 0 {
+		d.park(f, b)
+	}
+	d.sendRelay(f, balsampier.RelayOpen, f.agent, b)
+}
+
 // dropIfNotParked drops the flow and returns true if its packet could not be
 // parked.
 func (d *Director) dropIfNotParked(f *flow) bool {
@@ -125,7 +135,7 @@
 	case f.state == stateOpening:
 		d.recordRoundTrip(f, true, t)
 		return
-	default:
+	case f.state != stateOpen || f.agent != from || f.isEstablished:
 		return
 	}
 	f.state, f.firstAskedAt = stateOpen, time.Time{}
@@ -146,7 +156,8 @@
 	if len(f.packets) == 0 {
 		return
 	}
-	f.mayOpenLate = f.mayOpenLate || r.Reason == balsampier.ReasonUnanswered
+	// An agent that accepted the packet before refuses a copy if it has restarted.
+	f.mayOpenLate = f.mayOpenLate || r.Reason == balsampier.ReasonUnanswered || f.state == stateOpen && len(r.Payload) == 0
 	f.excludedAgents = append(f.excludedAgents, from)
 	d.logEvent("refused", f, from, r.Reason, 0)
 	d.place(f, t)
--- a/command/direct/reopen_test.go
+++ b/command/direct/reopen_test.go
@@ -9,6 +9,23 @@
 	"github.com/balsampier/balsampier"
 )
 
+// TestRefusedCopy checks that a flow whose agent refuses a copy of the opening
+// packet is offered to another agent, and that it is not reset, as a server may
+// have received the first packet. Guards against flows that time out at an agent
+// that has restarted.
+func TestRefusedCopy(t *testing.T) {
+	w := newWorld(qt.New(t), 2)
+	at := relayTargets(w.sendPacket(true), balsampier.RelayOpen)
+	w.sendReply(at[0], balsampier.RelayAccepted, balsampier.ReasonNone)
+	w.advanceTime(200 * time.Millisecond)
+	w.Assert(relayTargets(w.sendPacket(true), balsampier.RelayOpen)[0], qt.Equals, at[0])
+	next := relayTargets(w.sendReply(at[0], balsampier.RelayRefused, balsampier.ReasonDraining), balsampier.RelayOpen)
+	w.Assert(next, qt.HasLen, 1)
+	w.Assert(next[0], qt.Not(qt.Equals), at[0])
+	as := w.sendReply(next[0], balsampier.RelayRefused, balsampier.ReasonDraining)
+	w.Assert(countResets(as), qt.Equals, 0)
+}
+
 // TestRouteChangesWhileOpening checks that a flow that waits for an agent is
 // offered by the routes in force. Guards against new flows at the old service.
 func TestRouteChangesWhileOpening(t *testing.T) {
