fix: drop a late packet of an earlier flow instead of a reset of the new one

Callers may have seen: a new flow from a port that was used again at once is reset by a balancer, when a packet of the flow before comes late.

The balancer took that for the end of the flow, looked up the late packet, which nobody has, and reset the client by its newest packet.

Change: an agent whose open flow a packet does not fit says so in its denial. If the lookup finds no other holder, the packet is dropped and the flow stays.

TestPacketOfOtherFlow and TestLatePacket show each side.

--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -181,6 +181,10 @@
 		// hasUnanswered is true if an agent that was asked did not reply,
 		// holderMayBeDeparted if an agent outside the view may hold the flow.
 		hasUnanswered, holderMayBeDeparted bool
+		// otherHolder is an agent whose server holds another flow with the same
+		// addresses and ports, so that the packets that are looked up may be late;
+		// invalid if there is none.
+		otherHolder netip.AddrPort
 		// returnedBy are the agents whose servers returned a packet of the
 		// flow; they are not probed again.
 		returnedBy []netip.AddrPort
@@ -314,6 +318,7 @@
 		d.park(f, b)
 		d.place(f, t)
 	case f.state == stateUnassigned:
+		f.otherHolder = netip.AddrPort{}
 		d.park(f, b)
 		d.queryLikely(f, t)
 	default:
--- a/command/direct/find.go
+++ b/command/direct/find.go
@@ -20,7 +20,7 @@
 		d.recordRoundTrip(f, !slices.Contains(f.pendingAgents, from), t)
 	}
 	d.logEvent("found", f, from, balsampier.ReasonNone, 0)
-	f.state, f.agent, f.requeryInterval, f.firstAskedAt = stateOpen, from, 0, time.Time{}
+	f.state, f.agent, f.requeryInterval, f.firstAskedAt, f.otherHolder = stateOpen, from, 0, time.Time{}, netip.AddrPort{}
 	f.attempt++
 	for _, b := range f.packets {
 		d.sendRelay(f, balsampier.RelayDeliver, from, b)
@@ -39,6 +39,8 @@
 		case f.agent == from:
 			d.logEvent("denied", f, from, balsampier.ReasonUnknownFlow, 0)
 			f.recordReturned(from)
+			f.otherHolder = netip.AddrPort{}
+			f.recordOtherHolder(from, r)
 			f.excludedAgents = append(f.excludedAgents[:0], from)
 			d.unpark(f)
 			d.park(f, r.Payload)
@@ -54,6 +56,7 @@
 			return
 		}
 		d.recordRoundTrip(f, false, t)
+		f.recordOtherHolder(from, r)
 		if r.Kind == balsampier.RelayUncertain {
 			d.addUncertain(f, from)
 		}
@@ -64,6 +67,7 @@
 		// A late reply to a query returns no packet and is ignored.
 		if f.agent == from && len(r.Payload) > 0 {
 			f.recordReturned(from)
+			f.recordOtherHolder(from, r)
 			d.probeNext(f, t)
 		}
 	}
@@ -77,6 +81,14 @@
 	}
 }
 
+// recordOtherHolder records an agent that has another flow with the same addresses
+// and ports.
+func (f *flow) recordOtherHolder(a netip.AddrPort, r balsampier.Relay) {
+	if r.Reason == balsampier.ReasonOtherFlow {
+		f.otherHolder = a
+	}
+}
+
 // queryLikely starts a lookup of the flow by querying its most likely holders.
 func (d *Director) queryLikely(f *flow, t time.Time) {
 	if d.dropIfNotParked(f) {
@@ -157,9 +169,18 @@
 // endLookup ends a lookup that found no holder. The client gets a reset only if
 // every agent replied that its server does not have the flow, no agent outside the
 // view may have it, and the client is not opening another flow. Otherwise the flow
-// is looked up again later.
+// is looked up again later. If a server holds another flow with the same addresses
+// and ports, the packets are late ones and dropped.
 func (d *Director) endLookup(f *flow, t time.Time) {
 	s := f.segment
+	if f.otherHolder.IsValid() {
+		d.logEvent("dropped", f, f.otherHolder, balsampier.ReasonOtherFlow, len(f.packets))
+		f.state, f.agent = stateOpen, f.otherHolder
+		f.excludedAgents = f.excludedAgents[:0]
+		f.attempt++
+		d.unpark(f)
+		return
+	}
 	if !f.hasUnanswered && !f.holderMayBeDeparted && !s.Reset && !f.mayOpenNow(t) && !d.mayBeAtDeparted(s.Service, t) {
 		d.logEvent("reset", f, netip.AddrPort{}, balsampier.ReasonHolderGone, 0)
 		d.pendingActions = append(d.pendingActions, Action{Reset: &s})
--- a/command/direct/reopen_test.go
+++ b/command/direct/reopen_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/balsampier/balsampier"
+	"github.com/balsampier/balsampier/command/direct"
 )
 
 // TestRefusedCopy checks that a flow whose agent refuses a copy of the opening
@@ -63,3 +64,60 @@
 		})
 	}
 }
+
+// TestLatePacket checks what follows when the agent of an open flow denies a
+// packet because its server holds another flow with the same addresses and ports.
+// Guards against resets of a new flow by late packets of the one before.
+func TestLatePacket(t *testing.T) {
+	tests := []struct {
+		name string
+		// reason is that of the denial, holder the agent that has the flow of the
+		// packet; zero for none.
+		reason balsampier.Reason
+		holder int
+		// resets and next are the number of resets and the agent that gets the next
+		// packet; zero if the flow is looked up.
+		resets, next int
+	}{
+		{"a late packet", balsampier.ReasonOtherFlow, 0, 0, 1},
+		{"a packet of a later flow", balsampier.ReasonOtherFlow, 2, 0, 2},
+		{"the server has neither", balsampier.ReasonNone, 0, 1, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 2)
+			w.sendPacket(false)
+			w.sendReply(agentAddr(1), balsampier.RelayFound, balsampier.ReasonNone)
+			w.d.HandleReply(agentAddr(1), balsampier.Relay{
+				Kind: balsampier.RelayNotFound, Flow: segment(true).Key, Reason: v.reason, Payload: []byte("packet"),
+			}, w.t)
+			resets := 0
+			for range 10 {
+				for as := append([]direct.Action(nil), w.d.PopActions()...); len(as) > 0; {
+					resets += countResets(as)
+					var next []direct.Action
+					for _, a := range as {
+						if !a.To.IsValid() || a.Relay.Kind == balsampier.RelayDeliver {
+							continue
+						}
+						r := balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: a.Relay.Flow}
+						if v.holder > 0 && a.To == agentAddr(v.holder) {
+							r.Kind = balsampier.RelayFound
+						}
+						w.d.HandleReply(a.To, r, w.t)
+						next = append(next, w.d.PopActions()...)
+					}
+					as = next
+				}
+				w.t = w.t.Add(20 * time.Millisecond)
+				w.d.Tick(w.t)
+			}
+			w.Assert(resets, qt.Equals, v.resets)
+			to := relayTargets(w.sendPacket(false), balsampier.RelayDeliver)
+			w.Assert(len(to) == 1, qt.Equals, v.next > 0)
+			if v.next > 0 {
+				w.Assert(to[0], qt.Equals, agentAddr(v.next))
+			}
+		})
+	}
+}
--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -226,7 +226,8 @@
 	case balsampier.RelayProbe:
 		h.handleProbe(from, r, s, f, t)
 	case balsampier.RelayQuery:
-		h.reply(from, h.flowStatus(f, s, t), r.Flow, balsampier.ReasonNone, nil)
+		k, v := h.flowStatus(f, s, t)
+		h.reply(from, k, r.Flow, v, nil)
 	}
 }
 
@@ -289,9 +290,9 @@
 // handleDeliver handles a packet of a flow that the balancer attributes to this
 // agent.
 func (h *FlowTable) handleDeliver(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
-	k := h.flowStatus(f, s, t)
+	k, v := h.flowStatus(f, s, t)
 	if k == balsampier.RelayNotFound {
-		h.reply(from, k, r.Flow, balsampier.ReasonNone, r.Payload)
+		h.reply(from, k, r.Flow, v, r.Payload)
 		h.recordEvent("denied", s, from, balsampier.ReasonUnknownFlow, r.Revision)
 		return
 	}
@@ -303,8 +304,8 @@
 // handleProbe delivers a packet of a flow that no agent is known to have,
 // unless the server certainly does not have it.
 func (h *FlowTable) handleProbe(from netip.AddrPort, r balsampier.Relay, s balsampier.Segment, f *flow, t time.Time) {
-	if h.flowStatus(f, s, t) == balsampier.RelayNotFound {
-		h.reply(from, balsampier.RelayNotFound, r.Flow, balsampier.ReasonNone, r.Payload)
+	if k, v := h.flowStatus(f, s, t); k == balsampier.RelayNotFound {
+		h.reply(from, k, r.Flow, v, r.Payload)
 		return
 	}
 	h.deliverPacket(from, r, s, f, t)
@@ -338,23 +339,30 @@
 }
 
 // flowStatus returns RelayFound, RelayNotFound or RelayUncertain for the flow f
-// of s; f is nil if the flow is unknown.
-func (h *FlowTable) flowStatus(f *flow, s balsampier.Segment, t time.Time) balsampier.RelayKind {
+// of s, with the reason for RelayNotFound; f is nil if the flow is unknown.
+func (h *FlowTable) flowStatus(f *flow, s balsampier.Segment, t time.Time) (balsampier.RelayKind, balsampier.Reason) {
 	switch {
 	case f != nil && f.state == halfOpen && !f.answered && !h.mayMissFlows(t):
-		return balsampier.RelayNotFound
+		return balsampier.RelayNotFound, balsampier.ReasonNone
 	case f != nil && f.state == halfOpen && !f.answered:
-		return balsampier.RelayUncertain
-	case f != nil && f.answered && s.Ack && s.Acknowledged-f.serverSequence > f.serverNext-f.serverSequence+ackWindow:
-		// The client opened the flow at another server, or the packet is of
-		// another flow with the same addresses and ports.
-		return balsampier.RelayNotFound
+		return balsampier.RelayUncertain, balsampier.ReasonNone
+	case f != nil && !f.isAcknowledgedBy(s) && f.state == open:
+		return balsampier.RelayNotFound, balsampier.ReasonOtherFlow
+	case f != nil && !f.isAcknowledgedBy(s):
+		// The client opened the flow at another server.
+		return balsampier.RelayNotFound, balsampier.ReasonNone
 	case f != nil:
-		return balsampier.RelayFound
+		return balsampier.RelayFound, balsampier.ReasonNone
 	case !h.mayMissFlows(t):
-		return balsampier.RelayNotFound
+		return balsampier.RelayNotFound, balsampier.ReasonNone
 	}
-	return balsampier.RelayUncertain
+	return balsampier.RelayUncertain, balsampier.ReasonNone
+}
+
+// isAcknowledgedBy reports whether s acknowledges what the server may have sent on
+// the flow. If not, s is of another flow with the same addresses and ports.
+func (f *flow) isAcknowledgedBy(s balsampier.Segment) bool {
+	return !f.answered || !s.Ack || s.Acknowledged-f.serverSequence <= f.serverNext-f.serverSequence+ackWindow
 }
 
 // mayMissFlows reports whether the server may have flows that the agent does
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -740,3 +740,53 @@
 		w.Assert(got, qt.Equals, k)
 	}
 }
+
+// TestPacketOfOtherFlow checks that an agent tells the packets of the flow that its
+// server holds from those of another flow with the same addresses and ports.
+// Guards against a request that reaches the servers of both.
+func TestPacketOfOtherFlow(t *testing.T) {
+	sent := func(n uint32) func(w *testAgent) {
+		return func(w *testAgent) {
+			w.openFlow()
+			for i := uint32(0); i < n; i += 1200 {
+				s := segment(false)
+				s.Ack, s.Sequence, s.Length = true, serverSequence+1+i, 1200
+				w.fromServer(s)
+			}
+		}
+	}
+	final := func(w *testAgent) {
+		w.openFlow()
+		s := ackSegment(serverSequence + 1)
+		s.Final = true
+		w.relay(balsampier.RelayDeliver, s, 9)
+	}
+	tests := []struct {
+		name    string
+		prepare func(w *testAgent)
+		packet  balsampier.Segment
+		want    balsampier.RelayKind
+		reason  balsampier.Reason
+	}{
+		{"of the flow", (*testAgent).openFlow, ackSegment(serverSequence + 1), balsampier.RelayFound, 0},
+		{"of a flow that sent much", sent(200_000), ackSegment(serverSequence + 200_000), balsampier.RelayFound, 0},
+		{"delayed", sent(200_000), ackSegment(serverSequence + 1), balsampier.RelayFound, 0},
+		{"of another flow", (*testAgent).openFlow, ackSegment(serverSequence + 1<<30), balsampier.RelayNotFound, balsampier.ReasonOtherFlow},
+		{"of another flow, numbers before", (*testAgent).openFlow, ackSegment(serverSequence - 1), balsampier.RelayNotFound, balsampier.ReasonOtherFlow},
+		{"of another flow than one that was never open", openHalf, ackSegment(serverSequence - 1), balsampier.RelayNotFound, 0},
+		{"of another flow than one that has ended", final, ackSegment(serverSequence - 1), balsampier.RelayNotFound, 0},
+		{"of a flow that has ended", final, ackSegment(serverSequence + 1), balsampier.RelayFound, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newTestAgent(qt.New(t), true)
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
+			v.prepare(w)
+			k, r, _ := replyOf(w.relay(balsampier.RelayQuery, v.packet, 9))
+			w.Assert(k, qt.Equals, v.want)
+			w.Assert(r, qt.Equals, v.reason)
+			_, _, delivered := replyOf(w.relay(balsampier.RelayDeliver, v.packet, 9))
+			w.Assert(delivered, qt.Equals, v.want == balsampier.RelayFound)
+		})
+	}
+}
--- a/flow.go
+++ b/flow.go
@@ -62,6 +62,9 @@
 	ReasonUnanswered
 	// ReasonRouteChanged means that newer routes no longer allow the flow.
 	ReasonRouteChanged
+	// ReasonOtherFlow means that the server holds another flow with the same
+	// addresses and ports.
+	ReasonOtherFlow
 )
 
 // MaxHops limits how often one packet is forwarded between instances.
@@ -177,7 +180,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"none", "noRule", "noBackendServer", "holderGone", "hops", "service", "incarnation", "unknownFlow",
-		"unsettled", "lease", "draining", "epoch", "full", "silent", "unanswered", "revision",
+		"unsettled", "lease", "draining", "epoch", "full", "silent", "unanswered", "revision", "otherFlow",
 	}[r]
 }
 
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -59,7 +59,7 @@
 		},
 		Payload: m.GetPayload(), SinceDeparture: time.Duration(m.GetLostNanos()),
 	}
-	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayPassedSearch) || m.GetReason() > uint32(balsampier.ReasonRouteChanged) || r.Flow.IsZero() || r.SinceDeparture < 0 {
+	if m.GetKind() == 0 || m.GetKind() > uint32(balsampier.RelayPassedSearch) || m.GetReason() > uint32(balsampier.ReasonOtherFlow) || r.Flow.IsZero() || r.SinceDeparture < 0 {
 		return balsampier.Relay{}, errMalformed("open relay: the flow is missing, the kind or the reason is unknown, or the time since departure is negative")
 	}
 	var err error
--- a/relay.go
+++ b/relay.go
@@ -62,7 +62,8 @@
 		Service ServiceHash
 		// Revision is the revision of the sender's routes.
 		Revision Revision
-		// Reason is set in RelayRefused only.
+		// Reason is set in RelayRefused, and in RelayNotFound if the server holds
+		// another flow with the same addresses and ports.
 		Reason Reason
 		// SinceDeparture is the time since another agent of the replying
 		// agent's service left the view. The server of the departed agent may
