fix: probe an agent again in a later lookup

Callers may have seen: an open flow from a port that was used before is reset by a balancer whose agents have restarted.

Cause: an agent whose server returned a packet was never probed again about the same addresses and ports. The packet may have been of the flow before.

Change: it is not probed again in the same lookup only.

Before: TestReturnedInEarlierLookup probes once. After: three times.

--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -186,7 +186,7 @@
 		// invalid if there is none.
 		otherHolder netip.AddrPort
 		// returnedBy are the agents whose servers returned a packet of the
-		// flow; they are not probed again.
+		// flow; they are not probed again in the same lookup.
 		returnedBy []netip.AddrPort
 	}
 
@@ -318,7 +318,8 @@
 		d.park(f, b)
 		d.place(f, t)
 	case f.state == stateUnassigned:
-		f.otherHolder = netip.AddrPort{}
+		// The packet may be of a later flow with the same addresses and ports.
+		f.otherHolder, f.returnedBy = netip.AddrPort{}, nil
 		d.park(f, b)
 		d.queryLikely(f, t)
 	default:
--- a/command/direct/reopen_test.go
+++ b/command/direct/reopen_test.go
@@ -121,3 +121,31 @@
 		})
 	}
 }
+
+// TestReturnedInEarlierLookup checks that an agent that does not know its flows is
+// probed in each lookup. Guards against a reset of a flow because a packet of an
+// earlier one from the same port was returned.
+func TestReturnedInEarlierLookup(t *testing.T) {
+	w := newWorld(qt.New(t), 1)
+	probed := 0
+	for range 3 {
+		as := w.sendPacket(false)
+		for range 60 {
+			var next []direct.Action
+			for _, a := range as {
+				if !a.To.IsValid() || a.To != agentAddr(1) {
+					continue
+				}
+				r := balsampier.Relay{Kind: balsampier.RelayUncertain, Flow: a.Relay.Flow}
+				if a.Relay.Kind == balsampier.RelayProbe {
+					probed++
+					r.Kind, r.Payload = balsampier.RelayNotFound, a.Relay.Payload
+				}
+				w.d.HandleReply(a.To, r, w.t)
+				next = append(next, w.d.PopActions()...)
+			}
+			as = append(next, w.advanceTime(20*time.Millisecond)...)
+		}
+	}
+	w.Assert(probed, qt.Equals, 3)
+}
