fix: keep a new flow whose server returns a packet of the one before

Callers may have seen: a new flow from a port that was used again at once is reset.

Cause: the agent took the returned packet for one of the new flow, forgot that flow and denied it. A packet of the earlier flow was also denied without the reason while the new one was half open.

Change: a packet that does not fit what the server opens or holds is of another flow, and the reply says so.

Before: TestReturnedPacketOfOtherFlow and a row of TestPacketOfOtherFlow fail.

--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -342,12 +342,12 @@
 // of s, with the reason for RelayNotFound; f is nil if the flow is unknown.
 func (h *FlowTable) flowStatus(f *flow, s balsampier.Segment, t time.Time) (balsampier.RelayKind, balsampier.Reason) {
 	switch {
+	case f != nil && f.isOther(s):
+		return balsampier.RelayNotFound, balsampier.ReasonOtherFlow
 	case f != nil && f.state == halfOpen && !f.answered && !h.mayMissFlows(t):
 		return balsampier.RelayNotFound, balsampier.ReasonNone
 	case f != nil && f.state == halfOpen && !f.answered:
 		return balsampier.RelayUncertain, balsampier.ReasonNone
-	case f != nil && !f.isAcknowledgedBy(s) && f.state == open:
-		return balsampier.RelayNotFound, balsampier.ReasonOtherFlow
 	case f != nil && !f.isAcknowledgedBy(s):
 		// The client opened the flow at another server.
 		return balsampier.RelayNotFound, balsampier.ReasonNone
@@ -359,6 +359,18 @@
 	return balsampier.RelayUncertain, balsampier.ReasonNone
 }
 
+// isOther reports whether the server holds f, or is opening it, and s is of
+// another flow with the same addresses and ports.
+func (f *flow) isOther(s balsampier.Segment) bool {
+	switch f.state {
+	case halfOpen:
+		return !s.Opening && !f.opening.MayPrecede(s)
+	case open:
+		return !f.isAcknowledgedBy(s)
+	}
+	return false
+}
+
 // isAcknowledgedBy reports whether s acknowledges what the server may have sent on
 // the flow. If not, s is of another flow with the same addresses and ports.
 func (f *flow) isAcknowledgedBy(s balsampier.Segment) bool {
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -775,6 +775,11 @@
 		{"of another flow, numbers before", (*testAgent).openFlow, ackSegment(serverSequence - 1), balsampier.RelayNotFound, balsampier.ReasonOtherFlow},
 		{"of another flow than one that was never open", openHalf, ackSegment(serverSequence - 1), balsampier.RelayNotFound, 0},
 		{"of another flow than one that has ended", final, ackSegment(serverSequence - 1), balsampier.RelayNotFound, 0},
+		{"of an earlier flow than one that is opened", func(w *testAgent) {
+			s := segment(true)
+			s.Sequence = 1 << 30
+			w.relay(balsampier.RelayOpen, s, 9)
+		}, ackSegment(serverSequence + 1), balsampier.RelayNotFound, balsampier.ReasonOtherFlow},
 		{"of a flow that has ended", final, ackSegment(serverSequence + 1), balsampier.RelayFound, 0},
 	}
 	for _, v := range tests {
@@ -790,3 +795,33 @@
 		})
 	}
 }
+
+// TestReturnedPacketOfOtherFlow checks that a flow stays known if its server
+// returns a packet of an earlier flow with the same addresses and ports. Guards
+// against a reset of the new flow.
+func TestReturnedPacketOfOtherFlow(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(w *testAgent)
+		packet  balsampier.Segment
+		reason  balsampier.Reason
+		want    balsampier.RelayKind
+	}{
+		{"of an earlier flow", (*testAgent).openFlow, ackSegment(serverSequence - 1), balsampier.ReasonOtherFlow, balsampier.RelayFound},
+		{"of the flow", (*testAgent).openFlow, ackSegment(serverSequence + 1), balsampier.ReasonNone, balsampier.RelayNotFound},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newTestAgent(qt.New(t), true)
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
+			v.prepare(w)
+			s := v.packet
+			s.Returned = true
+			k, r, _ := replyOf(w.fromServer(s))
+			w.Assert(k, qt.Equals, balsampier.RelayNotFound)
+			w.Assert(r, qt.Equals, v.reason)
+			k, _, _ = replyOf(w.relay(balsampier.RelayQuery, ackSegment(serverSequence+1), 9))
+			w.Assert(k, qt.Equals, v.want)
+		})
+	}
+}
--- a/command/hold/packet.go
+++ b/command/hold/packet.go
@@ -90,6 +90,10 @@
 		h.recordEvent("returned", s, via, balsampier.ReasonFull, 0)
 	case s.Opening:
 		return
+	case f.isOther(s):
+		h.reply(via, balsampier.RelayNotFound, s.Key, balsampier.ReasonOtherFlow, b)
+		h.recordEvent("returned", s, via, balsampier.ReasonOtherFlow, 0)
+		return
 	case f.state == openInEarlierRun && f.established:
 		h.actions = append(h.actions, Action{Reset: &s})
 		h.recordEvent("reset", s, via, balsampier.ReasonHolderGone, 0)
