fix: look up the packets of two flows from one port apart

Callers may have seen: a new flow from a port that was used again at once is reset.

Cause: a balancer looked up a late packet of the earlier flow, which nobody had. A packet of the new flow came meanwhile, and the reset was made out for that one.

Change: a packet whose sequence numbers are far from those of the flow that is looked up starts a lookup of its own.

Before: two of four rows of TestPacketsOfTwoFlowsInLookup fail.

--- a/command/direct/reopen.go
+++ b/command/direct/reopen.go
@@ -23,10 +23,22 @@
 }
 
 // isOfOtherFlow reports whether s, which does not open a flow, is of another flow
-// than the one that was opened as f: of an earlier one, or of a later one that was
-// opened through another balancer.
+// than f: of an earlier one, or of a later one that was opened through another
+// balancer. For a flow with a holder, its agent decides.
 func (f *flow) isOfOtherFlow(s balsampier.Segment) bool {
-	return !f.isEstablished && !f.opening.MayPrecede(s)
+	switch {
+	case !f.isEstablished:
+		return !f.opening.MayPrecede(s)
+	case f.state == stateOpen:
+		return false
+	}
+	return !isNear(f.segment.Sequence, s.Sequence) || f.segment.Ack && s.Ack && !isNear(f.segment.Acknowledged, s.Acknowledged)
+}
+
+// isNear reports whether two packets with these numbers may be under way at the
+// same time.
+func isNear(a, b uint32) bool {
+	return a-b <= balsampier.SequenceWindow || b-a <= balsampier.SequenceWindow
 }
 
 // replaceFlow decides on the opening packet s of a new flow whose addresses and
--- a/command/direct/reopen_test.go
+++ b/command/direct/reopen_test.go
@@ -122,6 +122,41 @@
 	}
 }
 
+// TestPacketsOfTwoFlowsInLookup checks that the packets of a new flow that come
+// while a late packet of an earlier one is looked up start a lookup of their own.
+// Guards against a reset of the new flow because nobody has the earlier one.
+func TestPacketsOfTwoFlowsInLookup(t *testing.T) {
+	tests := []struct {
+		name string
+		// sequence and acknowledged are those of the second packet; the first has 0
+		// and 7.
+		sequence, acknowledged uint32
+		resets                 int
+	}{
+		{"of the same flow", 1200, 7, 1},
+		{"of the same flow, numbers wrap", 1<<32 - 1200, 7, 1},
+		{"another number of the client", 1 << 30, 7, 0},
+		{"another number of the server", 1200, 1 << 31, 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 2)
+			w.denyQueries(w.sendPacket(false))
+			w.Assert(relayTargets(w.advanceTime(15*time.Millisecond), balsampier.RelaySearch), qt.HasLen, 3)
+			s := segment(false)
+			s.Sequence, s.Acknowledged = v.sequence, v.acknowledged
+			w.d.HandlePacket(s, []byte("packet"), w.t)
+			w.d.PopActions()
+			n := 0
+			for _, i := range []int{1, 2, 99} {
+				w.d.HandleReply(agentAddr(i), balsampier.Relay{Kind: balsampier.RelayNotFound, Flow: balsampier.FlowKey{Lo: 1}}, w.t)
+				n += countResets(w.d.PopActions())
+			}
+			w.Assert(n, qt.Equals, v.resets)
+		})
+	}
+}
+
 // TestReturnedInEarlierLookup checks that an agent that does not know its flows is
 // probed in each lookup. Guards against a reset of a flow because a packet of an
 // earlier one from the same port was returned.
