--- a/command/direct/direct.go
+++ b/command/direct/direct.go
@@ -298,6 +298,7 @@
 		f.isEstablished, f.earlier = true, nil
 	}
 	if !s.Opening && f.state == stateOpen {
+		// A parked copy of the opening packet is no longer needed.
 		d.unpark(f)
 	}
 	if !s.Opening || !f.isEstablished {
