fix: let an agent without routes accept what a balancer offers

Change: an agent without routes does not compare. TestOlderRoutes is a row of TestForbiddenByRoutes now, beside one for the same revision.

--- a/command/hold/hold.go
+++ b/command/hold/hold.go
@@ -277,7 +277,7 @@
 		return balsampier.ReasonWrongService
 	case v.state.Draining:
 		return balsampier.ReasonDraining
-	case revision >= r.Revision && !allowed:
+	case revision > 0 && revision >= r.Revision && !allowed:
 		return balsampier.ReasonRouteChanged
 	case len(h.flows) >= maxFlows:
 		return balsampier.ReasonFull
--- a/command/hold/hold_test.go
+++ b/command/hold/hold_test.go
@@ -141,14 +141,27 @@
 	}
 }
 
-// TestOlderRoutes opens a flow that the balancer's newer routes allow and the
-// agent's older ones do not.
-func TestOlderRoutes(t *testing.T) {
-	w := newTestAgent(qt.New(t), true)
-	w.table.HandleHeartbeat(state(0, 1, false), w.t)
-	w.forbidden = true
-	k, _, _ := replyOf(w.relay(balsampier.RelayOpen, segment(true), 10))
-	w.Assert(k, qt.Equals, balsampier.RelayAccepted)
+// TestForbiddenByRoutes opens a flow that the agent's routes do not allow. Only
+// routes that are newer at the balancer go before them.
+func TestForbiddenByRoutes(t *testing.T) {
+	tests := []struct {
+		name     string
+		revision balsampier.Revision
+		want     balsampier.RelayKind
+	}{
+		{"the balancer has older routes", 8, balsampier.RelayRefused},
+		{"both have the same routes", 9, balsampier.RelayRefused},
+		{"the balancer has newer routes", 10, balsampier.RelayAccepted},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newTestAgent(qt.New(t), true)
+			w.table.HandleHeartbeat(state(0, 1, false), w.t)
+			w.forbidden = true
+			k, _, _ := replyOf(w.relay(balsampier.RelayOpen, segment(true), v.revision))
+			w.Assert(k, qt.Equals, v.want)
+		})
+	}
 }
 
 func TestQuery(t *testing.T) {
