fix: continue the silence of an agent that is not waited for

Resets stopped for 5 s, or 1.5 s outside the view, again and again. Found while reading the change.

Change: an agent is waited for again after 2 s, within the longest gap of a silence.

Before: TestLongSilence sees no reset in 500 ms, from 9 s and 10 s on. After: it passes.

--- a/command/direct/search.go
+++ b/command/direct/search.go
@@ -56,8 +56,9 @@
 	// silence. It is longer than maxRequeryInterval and a search.
 	maxSilenceGap = 3 * time.Second
 	// unreachableTTL is how long no reply is expected from an agent without
-	// another missed search.
-	unreachableTTL = 3 * time.Second
+	// another missed search. It is shorter than maxSilenceGap, so that the next one
+	// continues the silence.
+	unreachableTTL = 2 * time.Second
 	// maxViewDelay is the maximum delay between members in learning of a view.
 	maxViewDelay = 2 * time.Second
 	// keyBytes is the length of a flow's key in a search.
--- a/command/direct/silence_test.go
+++ b/command/direct/silence_test.go
@@ -189,3 +189,27 @@
 		})
 	}
 }
+
+// TestLongSilence checks that flows are reset all the time while an agent stays
+// silent. Guards against a silence that starts anew because the agent was not waited
+// for in between.
+func TestLongSilence(t *testing.T) {
+	tests := []struct {
+		name string
+		run  balsampier.Incarnation
+	}{
+		{"in the view", 1},
+		{"outside the view", 0},
+	}
+	for _, v := range tests {
+		t.Run(v.name, func(t *testing.T) {
+			w := newWorld(qt.New(t), 4)
+			w.adoptRun(1)
+			w.play(silenceStep{6 * time.Second, true, true, v.run})
+			for range 20 {
+				n := w.play(silenceStep{500 * time.Millisecond, true, true, v.run})
+				w.Assert(n > 0, qt.IsTrue, qt.Commentf("no reset in 500 ms until %v", w.t.Sub(start)))
+			}
+		})
+	}
+}
