--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,14 +16,16 @@
 
 // scenarios returns true if the rule was broken.
 var scenarios = map[string]func(w *world, trouble bool) (bool, error){
-	"drain": drainScenario,
+	"drain":      drainScenario,
+	"firststart": firstStartScenario,
 }
 
 var deployments = map[string]struct {
 	fronts   int
 	services []string
 }{
-	"drain": {3, []string{"pages", "pages", "pages", "pages"}},
+	"drain":      {3, []string{"pages", "pages", "pages", "pages"}},
+	"firststart": {3, []string{"pages", "pages"}},
 }
 
 var routeAddr = netip.MustParseAddrPort("198.18.0.1:8443")
