--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/binary"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -47,15 +48,34 @@
 	}
 }
 
-// pick returns the balancer with the highest score for the flow among those in
-// rotation.
+// pick returns the balancer for a flow of a client in zone 0. It hashes over the
+// balancers of the zone that are in rotation; over all of the zone if fewer than
+// half of them are; and over those of other zones if none of the zone is.
 func (r *router) pick(key string) netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best, top := 0, uint64(0)
+	var zone, ready, elsewhere []int
 	for i, m := range r.missed {
-		s := scoreOf(key, i)
-		if m < 2 && s >= top {
+		switch in := zoneOf(i) == zoneOf(0); {
+		case in:
+			zone = append(zone, i)
+			if m < 2 {
+				ready = append(ready, i)
+			}
+		case m < 2:
+			elsewhere = append(elsewhere, i)
+		}
+	}
+	from := ready
+	switch {
+	case len(ready) == 0 && len(elsewhere) > 0:
+		from = elsewhere
+	case 2*len(ready) < len(zone):
+		from = zone
+	}
+	best, top := from[0], uint64(0)
+	for _, i := range from {
+		if s := scoreOf(key, i); s >= top {
 			best, top = i, s
 		}
 	}
@@ -174,3 +194,35 @@
 		}
 	}
 }
+
+// request sends a request, and again after 200 ms and twice as long each time,
+// until it is answered or the deadline is over. Then it closes the flow.
+func (f *flow) request(deadline time.Duration) error {
+	id := f.c.w.nextID.Add(1)
+	f.c.w.rec.line("client sent request %d on %s", id, f.key)
+	d := binary.BigEndian.AppendUint64(nil, id)
+	end, wait := time.After(deadline), 200*time.Millisecond
+	f.send(flagAck, f.ack, d)
+	again := time.After(wait)
+	for {
+		select {
+		case p := <-f.in:
+			if p.flags&flagRst != 0 {
+				return errReset
+			}
+			if len(p.data) > 0 && p.ack == f.seq+uint32(len(d)) {
+				f.seq += uint32(len(d))
+				f.ack = p.seq + uint32(len(p.data))
+				f.c.w.rec.line("client got the answer %q", p.data)
+				f.send(flagAck|flagFin, f.ack, nil)
+				return nil
+			}
+		case <-again:
+			f.send(flagAck, f.ack, d)
+			wait = min(2*wait, 1600*time.Millisecond)
+			again = time.After(wait)
+		case <-end:
+			return errNoAnswer
+		}
+	}
+}
--- a/review/standin-3/host.go
+++ b/review/standin-3/host.go
@@ -31,6 +31,7 @@
 type hostFlow struct {
 	seq, next   uint32 // own next sequence number, and the client's
 	established bool
+	closed      bool
 	answers     map[uint32]packet // by the sequence number of the request
 }
 
@@ -126,6 +127,13 @@
 		h.send(c, raw)
 	case p.flags&flagRst != 0:
 		delete(h.flows, k)
+	case p.flags&flagFin != 0:
+		// Both ends close; a later FIN is answered with an ACK.
+		flags := byte(flagAck)
+		if !f.closed {
+			f.closed, flags = true, flagAck|flagFin
+		}
+		h.send(c, packet{flags: flags, src: p.dst, dst: p.src, seq: f.seq, ack: p.seq + 1, sum: 1}.encode())
 	default:
 		if !f.established {
 			f.established = true
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,10 +23,11 @@
 	fronts   int
 	services []string
 }{
-	"firststart": {3, []string{"pages", "pages"}},
+	"firststart": {6, []string{"pages", "pages", "pages", "pages"}},
 }
 
-var routeAddr = netip.MustParseAddrPort("198.18.0.1:8443")
+// routeAddr is the address of the route; nothing listens there.
+var routeAddr = netip.MustParseAddrPort("127.99.0.1:8443")
 
 func main() { os.Exit(run()) }
 
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -28,6 +28,9 @@
 	portPeer     = 7720
 	portApp      = 9080
 
+	// disks is how many front machines have a disk, one in each zone.
+	disks = 3
+
 	heartbeatEvery = 1200 * time.Millisecond
 )
 
@@ -43,7 +46,6 @@
 	procs          []*proc
 	over           atomic.Bool
 	nextID         atomic.Uint64
-	ackedBy        int // the front machine that acknowledged last
 	seedsOf        func() []string
 	faultTolerance int
 }
@@ -78,7 +80,7 @@
 	w.router = &router{w: w, missed: make([]int, fronts)}
 	w.seedsOf = func() []string {
 		var s []string
-		for i := range min(fronts, 3) {
+		for i := range disks {
 			s = append(s, fmt.Sprintf("%q", w.frontAddr(i, portControl).String()))
 		}
 		return s
@@ -129,9 +131,13 @@
 	line("operatorKeyFile: deploy/operator.key\npeerKeyFile: deploy/peer.key")
 	switch p.program {
 	case "control":
-		data := filepath.Join(p.w.folder, p.name)
-		if err := os.MkdirAll(data, 0o700); err != nil {
-			return err
+		// The machines after the first ones of the zones have no disk.
+		data := ""
+		if i < disks {
+			data = filepath.Join(p.w.folder, p.name)
+			if err := os.MkdirAll(data, 0o700); err != nil {
+				return err
+			}
 		}
 		line("operatorAddress: %q\npeerAddress: %q\ndataFolder: %q", at(i, portControl), at(i, portPeer), data)
 		line("documents: true\njoining: %v\ntolerance: %d\nelectionTimeout: 500ms\nwatchBudget: 4000000\nseeds: %s", !bootstrap, p.w.faultTolerance, seeds)
@@ -150,6 +156,9 @@
 func (p *proc) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.w.over.Load() {
+		return errors.New("the run is over")
+	}
 	log, err := os.OpenFile(strings.TrimSuffix(p.settings, "yaml")+"out", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -197,6 +206,16 @@
 	p.w.rec.line("%s has ended", p.name)
 }
 
+// running reports whether the program has not ended.
+func (p *proc) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // startAll starts all programs, as at the first start of the whole system.
 func (w *world) startAll() error {
 	for _, p := range w.procs {
@@ -262,26 +281,15 @@
 	return b
 }
 
-// operator asks the daemons in turn and does not follow redirects, so that it
-// knows which daemon acknowledged a change.
+// operator follows a redirect twice and waits a second for a response.
 var operator = http.Client{
-	Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
-	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-}
-
-// put sends a configuration to the daemons in turn until one acknowledges it.
-func (w *world) put(b []byte, patience time.Duration) error {
-	end := time.Now().Add(patience)
-	for i := w.ackedBy; time.Now().Before(end); i++ {
-		s, _ := w.call("POST", i%w.fronts, "/Config.Put", b)
-		if s == http.StatusOK {
-			w.ackedBy = i % w.fronts
-			w.rec.line("front machine %d acknowledged the configuration", w.ackedBy)
-			return nil
+	Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true},
+	CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > 2 {
+			return http.ErrUseLastResponse
 		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return errors.New("no configuration was acknowledged")
+		return nil
+	},
 }
 
 func (w *world) call(method string, front int, path string, b []byte) (int, []byte) {
